Set out the modules, the nouns and the checks

Cause: nothing stood yet. Before: an empty repository. Conclusion: the rooms of the design can be built side by side on these types.

--- /dev/null
+++ b/benchmarks/src/main/java/org/knapweedhatch/benchmarks/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of the hot paths. */
+package org.knapweedhatch.benchmarks;
--- /dev/null
+++ b/cli/src/main/java/org/knapweedhatch/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command-line tool. */
+package org.knapweedhatch.cli;
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/clock/package-info.java
@@ -0,0 +1,2 @@
+/** Time as an interface: the system's clock and a manual one. */
+package org.knapweedhatch.clock;
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/helper/package-info.java
@@ -0,0 +1,2 @@
+/** Small internal helpers shared by all packages. */
+package org.knapweedhatch.helper;
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/message/Outgoing.java
@@ -0,0 +1,11 @@
+package org.knapweedhatch.message;
+
+import org.knapweedhatch.helper.Validate;
+
+/** A message to be sent to a host; sending may fail silently. */
+public record Outgoing(String toHost, PeerMessage message) {
+    public Outgoing {
+        Validate.notEmpty(toHost, "toHost");
+        Validate.notNull(message, "message");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/message/package-info.java
@@ -0,0 +1,2 @@
+/** The marker of everything that hosts send to each other. */
+package org.knapweedhatch.message;
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/world/ClientBlock.java
@@ -0,0 +1,16 @@
+package org.knapweedhatch.world;
+
+import org.knapweedhatch.helper.Validate;
+
+/**
+ * A block of client addresses and the region nearest to it.
+ *
+ * @param cidr block in CIDR form, such as {@code 10.1.0.0/16}
+ * @param region nearest region
+ */
+public record ClientBlock(String cidr, String region) {
+    public ClientBlock {
+        Validate.isTrue(cidr.matches("[0-9a-fA-F.:]+/\\d{1,3}"), "not a CIDR block: %s", cidr);
+        Validate.notEmpty(region, "region");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/world/Configuration.java
@@ -0,0 +1,345 @@
+package org.knapweedhatch.world;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * One numbered configuration: everything that operators have declared, as of one accepted release.
+ *
+ * <pre>{@code
+ * Configuration next = configuration.toBuilder().team(team).build(configuration.number() + 1);
+ * }</pre>
+ */
+public final class Configuration {
+
+    private static final Configuration EMPTY = new Builder().build(0);
+
+    private final long number;
+    private final Map<String, Region> regions;
+    private final Map<String, FailureDomain> domains;
+    private final Map<String, Service> services;
+    private final Map<String, Route> routes;
+    private final Map<String, Target> targets;
+    private final Map<String, Team> teams;
+    private final Map<String, Key> keys;
+    private final Map<String, Link> links;
+    private final Map<String, Shift> shifts;
+    private final Map<String, ClientBlock> blocks;
+    private final Set<Drain> drains;
+    private final Map<String, Key> keysByDigest;
+
+    private Configuration(Builder b, long number) {
+        this.number = number;
+        regions = Map.copyOf(b.regions);
+        domains = Map.copyOf(b.domains);
+        services = Map.copyOf(b.services);
+        routes = Map.copyOf(b.routes);
+        targets = Map.copyOf(b.targets);
+        teams = Map.copyOf(b.teams);
+        keys = Map.copyOf(b.keys);
+        links = Map.copyOf(b.links);
+        shifts = Map.copyOf(b.shifts);
+        blocks = Map.copyOf(b.blocks);
+        drains = Set.copyOf(b.drains);
+        keysByDigest = keys.values().stream().collect(Collectors.toUnmodifiableMap(Key::digest, Function.identity()));
+    }
+
+    /** Returns the configuration before any release: number 0 and nothing declared. */
+    public static Configuration empty() {
+        return EMPTY;
+    }
+
+    /** Returns a builder that starts from nothing. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns a builder that starts from this configuration. */
+    public Builder toBuilder() {
+        Builder b = new Builder();
+        b.regions.putAll(regions);
+        b.domains.putAll(domains);
+        b.services.putAll(services);
+        b.routes.putAll(routes);
+        b.targets.putAll(targets);
+        b.teams.putAll(teams);
+        b.keys.putAll(keys);
+        b.links.putAll(links);
+        b.shifts.putAll(shifts);
+        b.blocks.putAll(blocks);
+        b.drains.addAll(drains);
+        return b;
+    }
+
+    /** Returns the number of the release that made it; numbers only go up. */
+    public long number() {
+        return number;
+    }
+
+    /** Returns the regions by name. */
+    public Map<String, Region> regions() {
+        return regions;
+    }
+
+    /** Returns the failure domains by name. */
+    public Map<String, FailureDomain> domains() {
+        return domains;
+    }
+
+    /** Returns the services by name. */
+    public Map<String, Service> services() {
+        return services;
+    }
+
+    /** Returns the routes by name. */
+    public Map<String, Route> routes() {
+        return routes;
+    }
+
+    /** Returns the targets by name. */
+    public Map<String, Target> targets() {
+        return targets;
+    }
+
+    /** Returns the teams by name. */
+    public Map<String, Team> teams() {
+        return teams;
+    }
+
+    /** Returns the keys by name. */
+    public Map<String, Key> keys() {
+        return keys;
+    }
+
+    /** Returns the links by name. */
+    public Map<String, Link> links() {
+        return links;
+    }
+
+    /** Returns the declared shifts by name. */
+    public Map<String, Shift> shifts() {
+        return shifts;
+    }
+
+    /** Returns the client blocks by CIDR. */
+    public Map<String, ClientBlock> blocks() {
+        return blocks;
+    }
+
+    /** Returns the planned drains. */
+    public Set<Drain> drains() {
+        return drains;
+    }
+
+    /** Returns the key with a digest, where it is in force. */
+    public Optional<Key> keyByDigest(String digest) {
+        return Optional.ofNullable(keysByDigest.get(digest));
+    }
+
+    /** Returns the route with the longest prefix of a path. */
+    public Optional<Route> route(String path) {
+        Route best = null;
+        for (Route route : routes.values()) {
+            boolean longer = best == null || route.path().length() > best.path().length();
+            if (longer && covers(route.path(), path)) {
+                best = route;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static boolean covers(String prefix, String path) {
+        if (!path.startsWith(prefix)) {
+            return false;
+        }
+        boolean whole = path.length() == prefix.length() || prefix.endsWith("/");
+        return whole || path.charAt(prefix.length()) == '/';
+    }
+
+    /** Returns the region of a failure domain. */
+    public Optional<String> regionOf(String domain) {
+        return Optional.ofNullable(domains.get(domain)).map(FailureDomain::region);
+    }
+
+    /** Returns the link between two regions, where one is declared. */
+    public Optional<Link> link(String from, String to) {
+        return Optional.ofNullable(links.get(from + "->" + to));
+    }
+
+    /** Returns the declared cap of a shift; 0 where none is declared. */
+    public double shiftCap(String service, String from, String to) {
+        Shift shift = shifts.get(service + ":" + from + "->" + to);
+        return shift == null ? 0 : shift.cap();
+    }
+
+    /** Returns the targets of a service. */
+    public Collection<Target> targetsOf(String service) {
+        return targets.values().stream()
+                .filter(t -> t.service().equals(service))
+                .toList();
+    }
+
+    /** Returns whether a target is drained: itself, its failure domain or its region. */
+    public boolean draining(Target target) {
+        return drains.contains(new Drain(Drain.Kind.TARGET, target.name())) || drainingDomain(target.domain());
+    }
+
+    /** Returns whether a host is drained: itself, its failure domain or its region. */
+    public boolean draining(Host host) {
+        return drains.contains(new Drain(Drain.Kind.HOST, host.name())) || drainingDomain(host.domain());
+    }
+
+    private boolean drainingDomain(String domain) {
+        if (drains.contains(new Drain(Drain.Kind.DOMAIN, domain))) {
+            return true;
+        }
+        return regionOf(domain)
+                .map(region -> drains.contains(new Drain(Drain.Kind.REGION, region)))
+                .orElse(false);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Configuration that && number == that.number && sameContent(that);
+    }
+
+    /** Returns whether another configuration declares the same, whatever its number. */
+    public boolean sameContent(Configuration that) {
+        return regions.equals(that.regions)
+                && domains.equals(that.domains)
+                && services.equals(that.services)
+                && routes.equals(that.routes)
+                && targets.equals(that.targets)
+                && teams.equals(that.teams)
+                && keys.equals(that.keys)
+                && links.equals(that.links)
+                && shifts.equals(that.shifts)
+                && blocks.equals(that.blocks)
+                && drains.equals(that.drains);
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(number);
+    }
+
+    /** Gathers the parts of a configuration; each method adds or replaces by name. */
+    public static final class Builder {
+        private final Map<String, Region> regions = new TreeMap<>();
+        private final Map<String, FailureDomain> domains = new TreeMap<>();
+        private final Map<String, Service> services = new TreeMap<>();
+        private final Map<String, Route> routes = new TreeMap<>();
+        private final Map<String, Target> targets = new TreeMap<>();
+        private final Map<String, Team> teams = new TreeMap<>();
+        private final Map<String, Key> keys = new TreeMap<>();
+        private final Map<String, Link> links = new TreeMap<>();
+        private final Map<String, Shift> shifts = new TreeMap<>();
+        private final Map<String, ClientBlock> blocks = new TreeMap<>();
+        private final Set<Drain> drains = new HashSet<>();
+
+        private Builder() {}
+
+        /** Adds or replaces a region. */
+        public Builder region(Region region) {
+            regions.put(region.name(), region);
+            return this;
+        }
+
+        /** Adds or replaces a failure domain. */
+        public Builder domain(FailureDomain domain) {
+            domains.put(domain.name(), domain);
+            return this;
+        }
+
+        /** Adds or replaces a service. */
+        public Builder service(Service service) {
+            services.put(service.name(), service);
+            return this;
+        }
+
+        /** Adds or replaces a route. */
+        public Builder route(Route route) {
+            routes.put(route.name(), route);
+            return this;
+        }
+
+        /** Adds or replaces a target. */
+        public Builder target(Target target) {
+            targets.put(target.name(), target);
+            return this;
+        }
+
+        /** Adds or replaces a team. */
+        public Builder team(Team team) {
+            teams.put(team.name(), team);
+            return this;
+        }
+
+        /** Adds or replaces a key. */
+        public Builder key(Key key) {
+            keys.put(key.name(), key);
+            return this;
+        }
+
+        /** Adds or replaces a link. */
+        public Builder link(Link link) {
+            links.put(link.name(), link);
+            return this;
+        }
+
+        /** Adds or replaces a shift. */
+        public Builder shift(Shift shift) {
+            shifts.put(shift.name(), shift);
+            return this;
+        }
+
+        /** Adds or replaces a client block. */
+        public Builder block(ClientBlock block) {
+            blocks.put(block.cidr(), block);
+            return this;
+        }
+
+        /** Adds a planned drain. */
+        public Builder drain(Drain drain) {
+            drains.add(drain);
+            return this;
+        }
+
+        /** Ends a planned drain. */
+        public Builder endDrain(Drain drain) {
+            drains.remove(drain);
+            return this;
+        }
+
+        /** Removes a part by kind and name; returns whether it was there. */
+        public boolean remove(Class<? extends Record> kind, String name) {
+            return parts(kind).remove(name) != null;
+        }
+
+        private Map<String, ? extends Record> parts(Class<? extends Record> kind) {
+            return Map.<Class<? extends Record>, Map<String, ? extends Record>>of(
+                            Region.class, regions,
+                            FailureDomain.class, domains,
+                            Service.class, services,
+                            Route.class, routes,
+                            Target.class, targets,
+                            Team.class, teams,
+                            Key.class, keys,
+                            Link.class, links,
+                            Shift.class, shifts,
+                            ClientBlock.class, blocks)
+                    .get(kind);
+        }
+
+        /** Builds the configuration with a number. */
+        public Configuration build(long number) {
+            return new Configuration(this, number);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/world/Region.java
@@ -0,0 +1,10 @@
+package org.knapweedhatch.world;
+
+import org.knapweedhatch.helper.Validate;
+
+/** A region, such as Lima; it holds failure domains. */
+public record Region(String name) {
+    public Region {
+        Validate.notEmpty(name, "region name");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon of an entry host. */
+package org.knapweedhatch.daemon;
--- /dev/null
+++ b/demo/src/main/java/org/knapweedhatch/demo/package-info.java
@@ -0,0 +1,2 @@
+/** A whole deployment on loopback, with traffic and a verdict. */
+package org.knapweedhatch.demo;
