--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** The time line: typed events of all hosts in one order. */
+package org.knapweedhatch.timeline;
