--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/key/package-info.java
@@ -0,0 +1,2 @@
+/** Keys of teams: checking the one that a request shows, and making new ones. */
+package org.knapweedhatch.key;
