--- a/daemon/src/main/java/org/knapweedhatch/edge/ForwardedHeaders.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/ForwardedHeaders.java
@@ -27,7 +27,9 @@
 
     private ForwardedHeaders() {}
 
-    /** Returns the headers of a caller's request that may leave this host: no key, none between hosts, no hop-by-hop. */
+    /**
+     * Returns the headers of a caller's request that may leave this host: no key, none between hosts, no hop-by-hop.
+     */
     static HeaderMap ofRequest(HeaderMap received) {
         Set<HttpString> dropped = named(received);
         HeaderMap passed = new HeaderMap();
