Read release notes and keep numbered configurations in the platform

A release note is checked whole against the configuration that it changes, and accepted by one conditional update of a head that names an immutable manifest and chunks. A lost answer is resolved by reading back, a note sent again is reported with its number, and the loser of a race is told what changed under it.

--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/platform/CallCounter.java
@@ -0,0 +1,37 @@
+package org.knapweedhatch.platform;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts calls of the object API as they are made; safe for use by many threads. */
+public final class CallCounter {
+
+    private final LongAdder reads = new LongAdder();
+    private final LongAdder writes = new LongAdder();
+    private final LongAdder lists = new LongAdder();
+    private final LongAdder watches = new LongAdder();
+
+    /** Counts a read of one object. */
+    public void read() {
+        reads.increment();
+    }
+
+    /** Counts a create, update or delete. */
+    public void write() {
+        writes.increment();
+    }
+
+    /** Counts a list of objects or of hosts. */
+    public void list() {
+        lists.increment();
+    }
+
+    /** Counts a watch. */
+    public void watch() {
+        watches.increment();
+    }
+
+    /** Returns the counts so far. */
+    public CallCounts counts() {
+        return new CallCounts(reads.sum(), writes.sum(), lists.sum(), watches.sum());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/release/Chunk.java
@@ -0,0 +1,79 @@
+package org.knapweedhatch.release;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.fault.Step;
+import org.knapweedhatch.helper.Digests;
+import org.knapweedhatch.ini.Checked;
+import org.knapweedhatch.ini.FaultList;
+import org.knapweedhatch.ini.Fields;
+import org.knapweedhatch.ini.IniFile;
+import org.knapweedhatch.ini.Section;
+import org.knapweedhatch.world.Configuration;
+
+/**
+ * A part of a configuration's canonical text, named by its digest.
+ *
+ * @param digest SHA-256 of the bytes
+ * @param bytes canonical text as UTF-8
+ */
+public record Chunk(String digest, byte[] bytes) {
+
+    static Chunk of(String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return new Chunk(Digests.sha256(bytes), bytes);
+    }
+
+    /** Returns the things that the chunk declares; fails where the bytes are not what the digest names. */
+    Result<List<Declared>> things() {
+        return Pieces.verified(digest, bytes)
+                .then(b -> IniFile.parse(digest, b).result(Step.RELEASE))
+                .then(this::read);
+    }
+
+    /** A thing and its kind. */
+    record Declared(Kind kind, Record thing) {
+        void put(Configuration.Builder builder) {
+            kind.put(builder, thing);
+        }
+
+        void remove(Configuration.Builder builder) {
+            kind.remove(builder, thing);
+        }
+    }
+
+    private Result<List<Declared>> read(IniFile file) {
+        FaultList faults = FaultList.of(digest);
+        List<Declared> all = new ArrayList<>();
+        for (Section section : file.sections()) {
+            List<String> words = section.words();
+            Fields fields = Fields.of(section, faults);
+            Kind kind = Kind.of(words.get(0)).orElse(null);
+            if (kind == null) {
+                faults.add(section.line(), section.title(), "unknown kind of thing");
+                continue;
+            }
+            String name = String.join(" ", words.subList(1, words.size()));
+            kind.read(name, fields).forEach(thing -> all.add(new Declared(kind, thing)));
+        }
+        Checked<List<Declared>> checked = faults.isEmpty() ? Checked.valid(all) : faults.checked();
+        return checked.result(Step.RELEASE);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Chunk that && digest.equals(that.digest);
+    }
+
+    @Override
+    public int hashCode() {
+        return digest.hashCode();
+    }
+
+    @Override
+    public String toString() {
+        return digest;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/release/Difference.java
@@ -0,0 +1,100 @@
+package org.knapweedhatch.release;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.knapweedhatch.world.Configuration;
+
+/**
+ * What differs between two configurations.
+ *
+ * <pre>{@code
+ * Difference.between(inForce, next).changes().forEach(System.out::println);
+ * }</pre>
+ *
+ * @param from number of the earlier configuration
+ * @param to number of the later one
+ * @param changes each thing that was added, changed or withdrawn, by kind and name
+ */
+public record Difference(long from, long to, List<Change> changes) {
+
+    public Difference {
+        changes = List.copyOf(changes);
+    }
+
+    /**
+     * One thing that differs.
+     *
+     * @param verb what happened to it
+     * @param kind its kind
+     * @param name its name
+     * @param before its fields before; empty where it was added
+     * @param after its fields after; empty where it was withdrawn
+     */
+    public record Change(Verb verb, Kind kind, String name, Map<String, String> before, Map<String, String> after) {
+        @Override
+        public String toString() {
+            String head = verb.word() + " " + kind.word() + " " + name;
+            return switch (verb) {
+                case ADD -> head + fields(after);
+                case CHANGE -> head + fields(changed());
+                case WITHDRAW -> head;
+            };
+        }
+
+        private Map<String, String> changed() {
+            Map<String, String> fields = new TreeMap<>();
+            after.forEach((name, value) -> {
+                if (!value.equals(before.get(name))) {
+                    fields.put(name, before.get(name) + " -> " + value);
+                }
+            });
+            return fields;
+        }
+
+        private static String fields(Map<String, String> fields) {
+            return fields.isEmpty() ? "" : " " + new TreeMap<>(fields);
+        }
+    }
+
+    /** Returns what differs between two configurations. */
+    public static Difference between(Configuration from, Configuration to) {
+        List<Change> changes = new ArrayList<>();
+        for (Kind kind : Kind.values()) {
+            Map<String, ? extends Record> before = kind.in(from);
+            Map<String, ? extends Record> after = kind.in(to);
+            for (String name : names(before, after)) {
+                changes.add(change(kind, name, before.get(name), after.get(name)));
+            }
+        }
+        return new Difference(from.number(), to.number(), changes);
+    }
+
+    private static TreeSet<String> names(Map<String, ? extends Record> before, Map<String, ? extends Record> after) {
+        TreeSet<String> names = new TreeSet<>();
+        before.forEach((name, thing) -> {
+            if (!thing.equals(after.get(name))) {
+                names.add(name);
+            }
+        });
+        after.keySet().stream().filter(name -> !before.containsKey(name)).forEach(names::add);
+        return names;
+    }
+
+    private static Change change(Kind kind, String name, Record before, Record after) {
+        if (before == null) {
+            return new Change(Verb.ADD, kind, name, Map.of(), kind.write(after));
+        }
+        if (after == null) {
+            return new Change(Verb.WITHDRAW, kind, name, kind.write(before), Map.of());
+        }
+        return new Change(Verb.CHANGE, kind, name, kind.write(before), kind.write(after));
+    }
+
+    /** Returns whether nothing differs. */
+    public boolean isEmpty() {
+        return changes.isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/release/Form.java
@@ -0,0 +1,331 @@
+package org.knapweedhatch.release;
+
+import java.math.BigDecimal;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.knapweedhatch.ini.Durations;
+import org.knapweedhatch.ini.Fields;
+import org.knapweedhatch.ini.IpNumbers;
+import org.knapweedhatch.world.Access;
+import org.knapweedhatch.world.ClientBlock;
+import org.knapweedhatch.world.Configuration;
+import org.knapweedhatch.world.Contract;
+import org.knapweedhatch.world.Drain;
+import org.knapweedhatch.world.FailureDomain;
+import org.knapweedhatch.world.Key;
+import org.knapweedhatch.world.Link;
+import org.knapweedhatch.world.Region;
+import org.knapweedhatch.world.Route;
+import org.knapweedhatch.world.Service;
+import org.knapweedhatch.world.Shift;
+import org.knapweedhatch.world.Target;
+import org.knapweedhatch.world.Team;
+
+/**
+ * How one kind of thing is read from fields, written as fields, and kept in a configuration.
+ *
+ * @param type the class of the things
+ * @param in the things of a configuration by name
+ * @param nameOf the name of a thing
+ * @param read makes things from the name and fields of a section
+ * @param write the fields of a thing
+ * @param references what a thing mentions
+ * @param put adds or replaces a thing
+ * @param <T> the type of the things
+ */
+record Form<T extends Record>(
+        Class<T> type,
+        Function<Configuration, Map<String, T>> in,
+        Function<T, String> nameOf,
+        BiFunction<String, Fields, List<T>> read,
+        Function<T, Map<String, String>> write,
+        Function<T, List<Reference>> references,
+        BiConsumer<Configuration.Builder, T> put) {
+
+    private static final int MAX_SLOTS = 100_000;
+    private static final int MAX_CONNECTIONS = 1_000_000;
+    private static final double MAX_RATE = 1e9;
+    private static final double MIN_RATE = 1e-3;
+    private static final long MAX_BURST = 1_000_000_000;
+    private static final long MAX_BYTES_PER_SECOND = 10_000_000_000_000L;
+    private static final Duration MIN_TIMEOUT = Duration.ofMillis(1);
+    private static final Duration MAX_TIMEOUT = Duration.ofHours(1);
+
+    Map<String, String> fields(Record thing) {
+        return write.apply(type.cast(thing));
+    }
+
+    String nameOfThing(Record thing) {
+        return nameOf.apply(type.cast(thing));
+    }
+
+    List<Reference> referencesOf(Record thing) {
+        return references.apply(type.cast(thing));
+    }
+
+    void putThing(Configuration.Builder builder, Record thing) {
+        put.accept(builder, type.cast(thing));
+    }
+
+    void removeThing(Configuration.Builder builder, Record thing) {
+        if (thing instanceof Drain drain) {
+            builder.endDrain(drain);
+        } else {
+            builder.remove(type, nameOfThing(thing));
+        }
+    }
+
+    List<T> readSafely(String name, Fields fields) {
+        try {
+            List<T> things = read.apply(name, fields);
+            return fields.valid() ? things : List.of();
+        } catch (IllegalArgumentException e) {
+            if (fields.valid()) {
+                fields.fault("", String.valueOf(e.getMessage()));
+            }
+            return List.of();
+        }
+    }
+
+    static Form<Region> region() {
+        return new Form<>(
+                Region.class,
+                Configuration::regions,
+                Region::name,
+                (name, f) -> List.of(new Region(name)),
+                r -> Map.of(),
+                r -> List.of(),
+                Configuration.Builder::region);
+    }
+
+    static Form<FailureDomain> domain() {
+        return new Form<>(
+                FailureDomain.class,
+                Configuration::domains,
+                FailureDomain::name,
+                (name, f) -> List.of(new FailureDomain(name, f.text("region"))),
+                d -> Map.of("region", d.region()),
+                d -> List.of(new Reference("region", Kind.REGION, d.region())),
+                Configuration.Builder::domain);
+    }
+
+    static Form<Service> service() {
+        return new Form<>(
+                Service.class,
+                Configuration::services,
+                Service::name,
+                (name, f) -> List.of(new Service(name, f.duration("timeout", MIN_TIMEOUT, MAX_TIMEOUT))),
+                s -> Map.of("timeout", Durations.format(s.timeout())),
+                s -> List.of(),
+                Configuration.Builder::service);
+    }
+
+    static Form<Route> route() {
+        return new Form<>(
+                Route.class,
+                Configuration::routes,
+                Route::name,
+                Form::readRoute,
+                r -> Map.of("path", r.path(), "service", r.service(), "access", Fields.written(r.access())),
+                r -> List.of(new Reference("service", Kind.SERVICE, r.service())),
+                Configuration.Builder::route);
+    }
+
+    private static List<Route> readRoute(String name, Fields f) {
+        String path = f.text("path");
+        if (!path.matches("/[\\x21-\\x7e&&[^?#;]]*")) {
+            f.fault("path", "not a path that begins with a slash: " + path);
+        }
+        Access access = f.choice("access", Access.class);
+        return List.of(new Route(name, path, f.text("service"), access));
+    }
+
+    static Form<Target> target() {
+        return new Form<>(
+                Target.class,
+                Configuration::targets,
+                Target::name,
+                Form::readTarget,
+                Form::writeTarget,
+                t -> List.of(
+                        new Reference("service", Kind.SERVICE, t.service()),
+                        new Reference("domain", Kind.DOMAIN, t.domain())),
+                Configuration.Builder::target);
+    }
+
+    private static List<Target> readTarget(String name, Fields f) {
+        int slots = (int) f.whole("slots", 1, MAX_SLOTS);
+        int connections = (int) f.whole("connections", 1, MAX_CONNECTIONS);
+        String service = f.text("service");
+        String domain = f.text("domain");
+        return List.of(new Target(name, service, domain, f.address("address"), slots, connections));
+    }
+
+    private static Map<String, String> writeTarget(Target t) {
+        return Map.of(
+                "service", t.service(),
+                "domain", t.domain(),
+                "address", t.address().toString(),
+                "slots", String.valueOf(t.slots()),
+                "connections", String.valueOf(t.connections()));
+    }
+
+    static Form<Team> team() {
+        return new Form<>(
+                Team.class,
+                Configuration::teams,
+                Team::name,
+                Form::readTeam,
+                t -> Map.of(
+                        "rate", decimal(t.contract().rate()),
+                        "burst", String.valueOf(t.contract().burst())),
+                t -> List.of(),
+                Configuration.Builder::team);
+    }
+
+    private static List<Team> readTeam(String name, Fields f) {
+        double rate = f.number("rate", MIN_RATE, MAX_RATE);
+        long burst = f.whole("burst", 1, MAX_BURST);
+        return List.of(new Team(name, new Contract(rate, burst)));
+    }
+
+    static Form<Key> key() {
+        return new Form<>(
+                Key.class,
+                Configuration::keys,
+                Key::name,
+                Form::readKey,
+                k -> Map.of("team", k.team(), "digest", k.digest()),
+                k -> List.of(new Reference("team", Kind.TEAM, k.team())),
+                Configuration.Builder::key);
+    }
+
+    private static List<Key> readKey(String name, Fields f) {
+        String team = f.text("team");
+        String digest = f.text("digest");
+        if (!digest.matches("[0-9a-f]{64}")) {
+            f.fault("digest", "not 64 lower-case hexadecimal digits; a key itself never stands in a note");
+        }
+        return List.of(new Key(name, team, digest));
+    }
+
+    static Form<Link> link() {
+        return new Form<>(
+                Link.class,
+                Configuration::links,
+                Link::name,
+                Form::readLink,
+                l -> Map.of("bytes-per-second", String.valueOf(l.bytesPerSecond())),
+                l -> List.of(new Reference("", Kind.REGION, l.from()), new Reference("", Kind.REGION, l.to())),
+                Configuration.Builder::link);
+    }
+
+    private static List<Link> readLink(String name, Fields f) {
+        long bytes = f.whole("bytes-per-second", 1, MAX_BYTES_PER_SECOND);
+        String[] ends = ends(name);
+        return List.of(new Link(ends[0], ends[1], bytes));
+    }
+
+    static Form<Shift> shift() {
+        return new Form<>(
+                Shift.class,
+                Configuration::shifts,
+                Shift::name,
+                Form::readShift,
+                s -> Map.of("cap", decimal(s.cap())),
+                s -> List.of(
+                        new Reference("", Kind.SERVICE, s.service()),
+                        new Reference("", Kind.REGION, s.from()),
+                        new Reference("", Kind.REGION, s.to())),
+                Configuration.Builder::shift);
+    }
+
+    private static List<Shift> readShift(String name, Fields f) {
+        double cap = f.number("cap", 0, 1);
+        int colon = name.indexOf(':');
+        if (colon < 1) {
+            throw new IllegalArgumentException("a shift is named service:from->to: " + name);
+        }
+        String[] ends = ends(name.substring(colon + 1));
+        return List.of(new Shift(name.substring(0, colon), ends[0], ends[1], cap));
+    }
+
+    private static String[] ends(String path) {
+        String[] ends = path.split("->", -1);
+        if (ends.length != 2) {
+            throw new IllegalArgumentException("two regions are joined as from->to: " + path);
+        }
+        return ends;
+    }
+
+    static Form<Drain> drain() {
+        return new Form<>(
+                Drain.class,
+                Form::drains,
+                d -> Fields.written(d.kind()) + " " + d.name(),
+                (name, f) -> List.of(drain(name)),
+                d -> Map.of(),
+                Form::drained,
+                Configuration.Builder::drain);
+    }
+
+    private static Map<String, Drain> drains(Configuration c) {
+        return c.drains().stream().collect(Collectors.toMap(d -> Fields.written(d.kind()) + " " + d.name(), d -> d));
+    }
+
+    private static Drain drain(String name) {
+        String[] words = name.split(" ");
+        for (Drain.Kind kind : Drain.Kind.values()) {
+            if (words.length == 2 && Fields.written(kind).equals(words[0])) {
+                return new Drain(kind, words[1]);
+            }
+        }
+        throw new IllegalArgumentException("a drain is named target, host, domain or region and a name: " + name);
+    }
+
+    private static List<Reference> drained(Drain drain) {
+        return switch (drain.kind()) {
+            case TARGET -> List.of(new Reference("", Kind.TARGET, drain.name()));
+            case DOMAIN -> List.of(new Reference("", Kind.DOMAIN, drain.name()));
+            case REGION -> List.of(new Reference("", Kind.REGION, drain.name()));
+            case HOST -> List.of();
+        };
+    }
+
+    static Form<ClientBlock> blocks() {
+        return new Form<>(
+                ClientBlock.class,
+                Configuration::blocks,
+                ClientBlock::cidr,
+                Form::readBlocks,
+                b -> Map.of("region", b.region()),
+                b -> List.of(new Reference("cidrs", Kind.REGION, b.region())),
+                Configuration.Builder::block);
+    }
+
+    private static List<ClientBlock> readBlocks(String region, Fields f) {
+        Map<String, ClientBlock> blocks = new TreeMap<>();
+        for (String cidr : f.list("cidrs")) {
+            String canonical = IpNumbers.block(cidr).orElse("");
+            if (canonical.isEmpty()) {
+                f.fault("cidrs", "not a CIDR block, or bits set below its prefix: " + cidr);
+            } else if (blocks.put(canonical, new ClientBlock(canonical, region)) != null) {
+                f.fault("cidrs", "block stands twice: " + cidr);
+            }
+        }
+        if (blocks.isEmpty()) {
+            f.fault("cidrs", "field is missing or empty");
+        }
+        return List.copyOf(blocks.values());
+    }
+
+    private static String decimal(double value) {
+        return new BigDecimal(Double.toString(value)).stripTrailingZeros().toPlainString();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/release/Json.java
@@ -0,0 +1,40 @@
+package org.knapweedhatch.release;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.Locale;
+import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.fault.Step;
+
+/** The records of this package as JSON, strict in reading. */
+final class Json {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper()
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private Json() {}
+
+    static byte[] write(Record value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a record of plain fields is written", e);
+        }
+    }
+
+    static <T> Result<T> read(byte[] bytes, Class<T> type, String object) {
+        try {
+            T value = MAPPER.readValue(bytes, type);
+            if (value != null) {
+                return Result.ok(value);
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            // Reported below; the text of the object may hold anything and is not repeated.
+        }
+        return Result.failed(
+                Step.RELEASE, object, "not a " + type.getSimpleName().toLowerCase(Locale.ROOT));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/release/Reference.java
@@ -0,0 +1,4 @@
+package org.knapweedhatch.release;
+
+/** A thing's mention of another one: the field, and the kind and name it must find. */
+record Reference(String field, Kind kind, String name) {}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/release/ReleaseStore.java
@@ -0,0 +1,227 @@
+package org.knapweedhatch.release;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.knapweedhatch.clock.Waiter;
+import org.knapweedhatch.fault.Fault;
+import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.fault.Step;
+import org.knapweedhatch.helper.Digests;
+import org.knapweedhatch.helper.Validate;
+import org.knapweedhatch.ini.Checked;
+import org.knapweedhatch.platform.ObjectApi;
+import org.knapweedhatch.platform.Problem;
+import org.knapweedhatch.platform.StoredObject;
+import org.knapweedhatch.world.Configuration;
+
+/**
+ * The numbered configurations in the platform.
+ *
+ * <pre>{@code
+ * ReleaseStore store = ReleaseStore.over(api, Waiter.blocking());
+ * Acceptance acceptance = store.accept(note);
+ * }</pre>
+ *
+ * <p>A configuration is a manifest and chunks, all immutable and named by digest. One conditional update of the head
+ * accepts a note; what was written before it counts for nothing until then.
+ */
+public final class ReleaseStore {
+
+    private static final int MAX_TRIES = 6;
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+
+    private final ObjectApi api;
+    private final Waiter waiter;
+
+    private ReleaseStore(ObjectApi api, Waiter waiter) {
+        this.api = Validate.notNull(api, "api");
+        this.waiter = Validate.notNull(waiter, "waiter");
+    }
+
+    /** Creates a store over an object API; {@code waiter} spaces repeated tries. */
+    public static ReleaseStore over(ObjectApi api, Waiter waiter) {
+        return new ReleaseStore(api, waiter);
+    }
+
+    /** A head, and the version of its object; version 0 where there is none yet. */
+    record Seen(Head head, long version) {}
+
+    /** Returns the head. */
+    public Result<Head> head() {
+        return seen().then(seen -> Result.ok(seen.head()));
+    }
+
+    /** Returns the configuration that the head names. */
+    public Result<Configuration> current() {
+        return head().then(this::configuration);
+    }
+
+    /** Returns the configuration that a head names, read whole. */
+    public Result<Configuration> configuration(Head head) {
+        if (head.number() == 0) {
+            return Result.ok(Configuration.empty());
+        }
+        return manifest(head).then(manifest -> {
+            Configuration.Builder builder = Configuration.builder();
+            for (String digest : manifest.chunks()) {
+                Result<List<Chunk.Declared>> things = read(digest).then(b -> new Chunk(digest, b).things());
+                if (!things.isOk()) {
+                    return Result.failed(things.fault());
+                }
+                things.orThrow().forEach(thing -> thing.put(builder));
+            }
+            return Result.ok(builder.build(manifest.number()));
+        });
+    }
+
+    /** Accepts a note on top of whatever configuration is the latest. */
+    public Acceptance accept(ReleaseNote note) {
+        return accept(note, OptionalLong.empty());
+    }
+
+    /**
+     * Accepts a note, and only on top of configuration {@code after} where that is given. It is applied at most once: a
+     * note that was accepted before is reported with its number.
+     */
+    public Acceptance accept(ReleaseNote note, OptionalLong after) {
+        Result<Seen> seen = seen();
+        if (!seen.isOk()) {
+            return new Acceptance.Failed(seen.fault());
+        }
+        Head head = seen.orThrow().head();
+        OptionalLong before = head.acceptedAs(note.digest());
+        if (before.isPresent()) {
+            return new Acceptance.Accepted(before.getAsLong(), true);
+        }
+        if (after.isPresent() && after.getAsLong() != head.number()) {
+            return expectedOther(after.getAsLong(), head);
+        }
+        Result<Configuration> current = configuration(head);
+        if (!current.isOk()) {
+            return new Acceptance.Failed(current.fault());
+        }
+        return accept(note, seen.orThrow(), current.orThrow());
+    }
+
+    private Acceptance expectedOther(long after, Head head) {
+        Fault fault =
+                Fault.at(Step.RELEASE, Names.HEAD, "configuration " + head.number() + " is the latest, not " + after);
+        return new Acceptance.Failed(fault);
+    }
+
+    private Acceptance accept(ReleaseNote note, Seen seen, Configuration current) {
+        Checked<Configuration> next = note.apply(current);
+        if (!next.isValid()) {
+            return new Acceptance.Rejected(next.faults());
+        }
+        Result<String> manifest = writePieces(seen.head(), next.orThrow());
+        if (!manifest.isOk()) {
+            return new Acceptance.Failed(manifest.fault());
+        }
+        Head head = seen.head().next(manifest.orThrow(), note.digest());
+        return writeHead(note, seen, head, current);
+    }
+
+    private Acceptance writeHead(ReleaseNote note, Seen seen, Head next, Configuration current) {
+        Fault last = null;
+        boolean maybeWritten = false;
+        for (int tries = 0; tries < MAX_TRIES; tries++) {
+            pauseBefore(tries);
+            Result<StoredObject> written = write(Names.HEAD, next.bytes(), seen.version());
+            if (written.isOk()) {
+                return new Acceptance.Accepted(next.number(), false);
+            }
+            last = written.fault();
+            if (Problem.REJECTED.is(last)) {
+                return new Acceptance.Failed(last);
+            }
+            maybeWritten |= Problem.UNKNOWN.is(last);
+            Result<Seen> now = seen();
+            if (now.isOk() && now.orThrow().head().number() > seen.head().number()) {
+                return moved(note, now.orThrow().head(), current);
+            }
+        }
+        return maybeWritten ? new Acceptance.Unknown(last) : new Acceptance.Failed(last);
+    }
+
+    /** The head has moved on: by this note, written by whomever, or by another one. */
+    private Acceptance moved(ReleaseNote note, Head head, Configuration current) {
+        OptionalLong number = head.acceptedAs(note.digest());
+        if (number.isPresent()) {
+            return new Acceptance.Accepted(number.getAsLong(), false);
+        }
+        Result<Configuration> latest = configuration(head);
+        return latest.isOk()
+                ? new Acceptance.Conflict(Difference.between(current, latest.orThrow()))
+                : new Acceptance.Failed(latest.fault());
+    }
+
+    /** Writes the chunks that the present manifest does not name, and the manifest; returns its digest. */
+    private Result<String> writePieces(Head head, Configuration next) {
+        Set<String> there = new HashSet<>();
+        if (head.number() > 0) {
+            Result<Manifest> present = manifest(head);
+            if (!present.isOk()) {
+                return Result.failed(present.fault());
+            }
+            there.addAll(present.orThrow().chunks());
+        }
+        List<String> digests = new ArrayList<>();
+        for (Chunk chunk : Chunks.of(next)) {
+            digests.add(chunk.digest());
+            Result<String> written =
+                    there.add(chunk.digest()) ? createPiece(chunk.digest(), chunk.bytes()) : Result.ok(chunk.digest());
+            if (!written.isOk()) {
+                return written;
+            }
+        }
+        byte[] manifest = new Manifest(next.number(), digests).bytes();
+        return createPiece(Digests.sha256(manifest), manifest);
+    }
+
+    private Result<String> createPiece(String digest, byte[] bytes) {
+        Fault last = null;
+        for (int tries = 0; tries < MAX_TRIES; tries++) {
+            pauseBefore(tries);
+            Result<StoredObject> created = api.create(Names.piece(digest), bytes);
+            if (created.isOk() || Problem.CONFLICT.is(created.fault())) {
+                return Result.ok(digest);
+            }
+            last = created.fault();
+            if (Problem.REJECTED.is(last)) {
+                break;
+            }
+        }
+        return Result.failed(last);
+    }
+
+    private Result<StoredObject> write(String name, byte[] bytes, long version) {
+        return version == 0 ? api.create(name, bytes) : api.update(name, bytes, version);
+    }
+
+    private Result<Seen> seen() {
+        Result<StoredObject> object = api.read(Names.HEAD);
+        if (!object.isOk() && Problem.MISSING.is(object.fault())) {
+            return Result.ok(new Seen(Head.NONE, 0));
+        }
+        return object.then(o -> Head.parse(o.body()).then(head -> Result.ok(new Seen(head, o.version()))));
+    }
+
+    private Result<Manifest> manifest(Head head) {
+        return read(head.manifest()).then(bytes -> Manifest.parse(head.manifest(), bytes));
+    }
+
+    private Result<byte[]> read(String digest) {
+        return api.read(Names.piece(digest)).then(object -> Pieces.verified(digest, object.body()));
+    }
+
+    private void pauseBefore(int tries) {
+        if (tries > 0) {
+            waiter.pause(FIRST_PAUSE.multipliedBy(1L << (tries - 1)));
+        }
+    }
+}
--- a/core/src/main/java/org/knapweedhatch/world/Configuration.java
+++ b/core/src/main/java/org/knapweedhatch/world/Configuration.java
@@ -1,6 +1,7 @@
 package org.knapweedhatch.world;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -317,6 +318,21 @@
             return this;
         }
 
+        /** Returns the keys gathered so far, by name. */
+        public Map<String, Key> keys() {
+            return Collections.unmodifiableMap(keys);
+        }
+
+        /** Returns the targets gathered so far, by name. */
+        public Map<String, Target> targets() {
+            return Collections.unmodifiableMap(targets);
+        }
+
+        /** Returns the routes gathered so far, by name. */
+        public Map<String, Route> routes() {
+            return Collections.unmodifiableMap(routes);
+        }
+
         /** Removes a part by kind and name; returns whether it was there. */
         public boolean remove(Class<? extends Record> kind, String name) {
             return parts(kind).remove(name) != null;
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/release/LosingApi.java
@@ -0,0 +1,36 @@
+package org.knapweedhatch.release;
+
+import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.platform.MemoryPlatform;
+import org.knapweedhatch.platform.StoredObject;
+
+/** Loses the answer of one write, after it took effect. */
+final class LosingApi extends DelegatingApi {
+
+    private final MemoryPlatform platform;
+    private int writesLeft;
+
+    LosingApi(MemoryPlatform platform, int writesBefore) {
+        super(platform);
+        this.platform = platform;
+        this.writesLeft = writesBefore;
+    }
+
+    @Override
+    public Result<StoredObject> create(String name, byte[] body) {
+        count();
+        return super.create(name, body);
+    }
+
+    @Override
+    public Result<StoredObject> update(String name, byte[] body, long expectedVersion) {
+        count();
+        return super.update(name, body, expectedVersion);
+    }
+
+    private void count() {
+        if (writesLeft-- == 0) {
+            platform.loseAnswers(1);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/release/ReleaseStoreTest.java
@@ -0,0 +1,105 @@
+package org.knapweedhatch.release;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.knapweedhatch.clock.ManualTime;
+import org.knapweedhatch.platform.MemoryPlatform;
+import org.knapweedhatch.release.Acceptance.Accepted;
+import org.knapweedhatch.world.Configuration;
+
+class ReleaseStoreTest {
+
+    private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
+    private final MemoryPlatform platform = MemoryPlatform.create(time::advance);
+    private final ReleaseStore store = ReleaseStore.over(platform, time::advance);
+
+    private final ReleaseNote base = Notes.of(Notes.BASE);
+    private final ReleaseNote faster = Notes.of("[change team crew-1]\nrate = 200\n");
+
+    @Test
+    void anAcceptedNoteIsReadBackAsItWas() {
+        assertEquals(new Accepted(1, false), store.accept(base));
+        Configuration expected = base.apply(Configuration.empty()).orThrow();
+        assertEquals(expected, store.current().orThrow());
+    }
+
+    @Test
+    void aNoteSentAgainIsReportedWithItsNumber() {
+        store.accept(base);
+        store.accept(faster);
+        assertEquals(new Accepted(1, true), store.accept(base));
+        assertEquals(new Accepted(2, true), store.accept(faster));
+        assertEquals(2, store.current().orThrow().number());
+    }
+
+    @Test
+    void aLostAnswerOfAnyWriteIsResolvedByReadingBack() {
+        for (int write = 0; write < 8; write++) {
+            MemoryPlatform fresh = MemoryPlatform.create(time::advance);
+            ReleaseStore losing = ReleaseStore.over(new LosingApi(fresh, write), time::advance);
+            assertInstanceOf(Accepted.class, losing.accept(base), "answer lost at write " + write);
+            assertEquals(1, losing.current().orThrow().number());
+            assertEquals(new Accepted(1, true), losing.accept(base));
+        }
+    }
+
+    @Test
+    void aDroppedWriteIsTriedAgain() {
+        platform.dropWrites(1);
+        assertEquals(new Accepted(1, false), store.accept(base));
+    }
+
+    @Test
+    void aPlatformThatIsDownLeavesNothingApplied() {
+        store.accept(base);
+        platform.down(true);
+        assertInstanceOf(Acceptance.Failed.class, store.accept(faster));
+        platform.down(false);
+        assertEquals(1, store.current().orThrow().number());
+    }
+
+    @Test
+    void staleReadsNeverOverwriteALaterRelease() {
+        store.accept(base);
+        platform.staleReads(true);
+        ReleaseStore other = ReleaseStore.over(platform, time::advance);
+        assertEquals(new Accepted(2, false), other.accept(faster));
+        Acceptance late = store.accept(Notes.of("[change team crew-1]\nburst = 9\n"));
+        assertInstanceOf(Acceptance.Failed.class, late);
+        platform.staleReads(false);
+        assertEquals(
+                20, store.current().orThrow().teams().get("crew-1").contract().burst());
+    }
+
+    @Test
+    void theLoserOfARaceIsToldWhatChanged() {
+        store.accept(base);
+        RacingApi racing = new RacingApi(platform, () -> store.accept(faster));
+        Acceptance lost = ReleaseStore.over(racing, time::advance).accept(Notes.of("[add region cusco]\n"));
+        Difference since = assertInstanceOf(Acceptance.Conflict.class, lost).since();
+        assertEquals(2, since.to());
+        assertEquals("[change team crew-1 {rate=100 -> 200}]", since.changes().toString());
+        assertTrue(!store.current().orThrow().regions().containsKey("cusco"));
+    }
+
+    @Test
+    void theSameNoteRacingItselfIsAppliedOnce() {
+        store.accept(base);
+        RacingApi racing = new RacingApi(platform, () -> store.accept(faster));
+        Acceptance second = ReleaseStore.over(racing, time::advance).accept(faster);
+        assertEquals(2, assertInstanceOf(Accepted.class, second).number());
+        assertEquals(2, store.current().orThrow().number());
+    }
+
+    @Test
+    void aNoteForAnotherConfigurationIsRefused() {
+        store.accept(base);
+        assertInstanceOf(Acceptance.Failed.class, store.accept(faster, OptionalLong.of(0)));
+        assertInstanceOf(Accepted.class, store.accept(faster, OptionalLong.of(1)));
+    }
+}
