Add membership: heartbeats, digests between regions, judged states

Hosts send heartbeats to every host of their region and a digest of the region to two hosts of each other region, which relay it in their own heartbeats. A host is SILENT only where another host of its domain was heard more than one heartbeat interval later; otherwise it is CUT_OFF. Eight tests on 18 hosts in three regions pass, among them a cut domain that must not be taken for dead at any tick.

--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/member/Contacts.java
@@ -0,0 +1,63 @@
+package org.knapweedhatch.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.knapweedhatch.world.Host;
+
+/** Hosts that were named to this one but not heard yet: where to send first heartbeats. */
+final class Contacts {
+
+    private static final class Contact {
+        private final Host host;
+        private int tries;
+        private long dueNanos;
+
+        private Contact(Host host, long dueNanos) {
+            this.host = host;
+            this.dueNanos = dueNanos;
+        }
+    }
+
+    private final Map<String, Contact> named = new HashMap<>();
+
+    /** Adds hosts that a setting, a peer or the platform's list names. */
+    void add(Collection<Host> hosts, long nowNanos) {
+        for (Host host : hosts) {
+            Contact known = named.get(host.name());
+            if (known == null || !known.host.equals(host)) {
+                named.put(host.name(), new Contact(host, nowNanos));
+            }
+        }
+    }
+
+    void removeIf(Predicate<Host> condition) {
+        named.values().removeIf(contact -> condition.test(contact.host));
+    }
+
+    /** Returns the hosts whose next introduction is due, and counts it as made. */
+    List<Host> due(Predicate<Host> wanted, long nowNanos) {
+        List<Host> due = new ArrayList<>();
+        for (Contact contact : named.values()) {
+            if (nowNanos < contact.dueNanos || !wanted.test(contact.host)) {
+                continue;
+            }
+            contact.tries++;
+            boolean soon = contact.tries < Timing.INTRODUCE_SOON_TRIES;
+            contact.dueNanos = nowNanos + (soon ? Timing.INTRODUCE_SOON : Timing.INTRODUCE_LATE);
+            due.add(contact.host);
+        }
+        return due;
+    }
+
+    /** Returns all hosts that are named and wanted. */
+    List<Host> all(Predicate<Host> wanted) {
+        return named.values().stream()
+                .map(contact -> contact.host)
+                .filter(wanted)
+                .toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/member/Roster.java
@@ -0,0 +1,175 @@
+package org.knapweedhatch.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.knapweedhatch.timeline.EventKind;
+import org.knapweedhatch.timeline.EventSink;
+import org.knapweedhatch.world.Host;
+
+/** The other hosts that were ever heard, and the judgement of those in the own region. */
+final class Roster {
+
+    /** When the hosts of one failure domain were last heard: the latest one, and the latest of all others. */
+    private static final class DomainPulse {
+        private String latestName = "";
+        private long latestNanos = Timing.NEVER;
+        private long secondNanos = Timing.NEVER;
+
+        private void heard(String name, long nanos) {
+            if (nanos > latestNanos) {
+                secondNanos = latestNanos;
+                latestNanos = nanos;
+                latestName = name;
+            } else {
+                secondNanos = Math.max(secondNanos, nanos);
+            }
+        }
+
+        private long without(String name) {
+            return latestName.equals(name) ? secondNanos : latestNanos;
+        }
+    }
+
+    private final Host self;
+    private final EventSink events;
+    private final Map<String, Peer> peers = new HashMap<>();
+    private boolean changed = true;
+
+    Roster(Host self, EventSink events) {
+        this.self = self;
+        this.events = events;
+    }
+
+    Peer get(String name) {
+        return peers.get(name);
+    }
+
+    Collection<Peer> all() {
+        return peers.values();
+    }
+
+    boolean local(Peer peer) {
+        return peer.host.region().equals(self.region());
+    }
+
+    /** Returns the peer of a process at a host, made or renewed as needed; null where a later process is known. */
+    Peer upsert(Host host, long incarnation, long nowNanos) {
+        Peer peer = peers.get(host.name());
+        if (peer == null) {
+            peer = new Peer(host, nowNanos);
+            peer.incarnation = incarnation;
+            peers.put(host.name(), peer);
+            changed = true;
+            return peer;
+        }
+        if (incarnation < peer.incarnation) {
+            return null;
+        }
+        if (incarnation > peer.incarnation) {
+            peer.restarted(incarnation);
+            events.record(EventKind.MEMBER, host.name(), "restarted");
+            changed = true;
+        }
+        peer.host = host;
+        return peer;
+    }
+
+    void forget(Peer peer) {
+        peers.remove(peer.name());
+        changed = true;
+    }
+
+    /** Returns whether a member came, went or changed its state since the last call. */
+    boolean takeChanged() {
+        boolean was = changed;
+        changed = false;
+        return was;
+    }
+
+    /** Returns the hosts of a region whose peers meet a condition. */
+    List<Host> hosts(String region, Predicate<Peer> condition) {
+        List<Host> hosts = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (peer.host.region().equals(region) && condition.test(peer)) {
+                hosts.add(peer.host);
+            }
+        }
+        return hosts;
+    }
+
+    Set<String> regions() {
+        Set<String> regions = new HashSet<>();
+        peers.values().forEach(peer -> regions.add(peer.host.region()));
+        return regions;
+    }
+
+    void forgive(long pauseNanos) {
+        peers.values().forEach(peer -> peer.forgive(pauseNanos));
+    }
+
+    /** Judges the hosts of the own region by what was heard of them and of their failure domains. */
+    void judgeLocal(long nowNanos) {
+        Map<String, DomainPulse> pulses = pulses(nowNanos);
+        for (Peer peer : List.copyOf(peers.values())) {
+            if (local(peer)) {
+                judgeLocal(peer, pulses.get(peer.domain()), nowNanos);
+            }
+        }
+    }
+
+    private Map<String, DomainPulse> pulses(long nowNanos) {
+        Map<String, DomainPulse> pulses = new HashMap<>();
+        boolean hearsAny = false;
+        for (Peer peer : peers.values()) {
+            hearsAny |= peer.heard(nowNanos);
+            if (local(peer)) {
+                DomainPulse pulse = pulses.computeIfAbsent(peer.domain(), d -> new DomainPulse());
+                pulse.heard(peer.name(), peer.gone ? Timing.NEVER : peer.heardNanos());
+            }
+        }
+        if (hearsAny) {
+            pulses.computeIfAbsent(self.domain(), d -> new DomainPulse()).heard(self.name(), nowNanos);
+        }
+        return pulses;
+    }
+
+    private void judgeLocal(Peer peer, DomainPulse pulse, long nowNanos) {
+        if (peer.gone) {
+            become(peer, MemberState.SILENT, nowNanos);
+        } else if (peer.heard(nowNanos)) {
+            become(peer, peer.leaving ? MemberState.LEAVING : MemberState.ALIVE, nowNanos);
+        } else {
+            judgeUnheard(peer, pulse.without(peer.name()), nowNanos);
+        }
+        boolean dead = peer.state == MemberState.SILENT || peer.state == MemberState.CUT_OFF;
+        if (dead && nowNanos - peer.stateSinceNanos > Timing.FORGET) {
+            forget(peer);
+        }
+    }
+
+    private void judgeUnheard(Peer peer, long domainHeardNanos, long nowNanos) {
+        boolean domainHeard = nowNanos - domainHeardNanos < Timing.HEARTBEAT_TIMEOUT;
+        if (!domainHeard) {
+            become(peer, MemberState.CUT_OFF, nowNanos);
+        } else if (domainHeardNanos - peer.heardNanos() >= Timing.DOMAIN_MARGIN) {
+            become(peer, MemberState.SILENT, nowNanos);
+        }
+    }
+
+    /** Sets the state of a peer and records a change of it. */
+    void become(Peer peer, MemberState state, long nowNanos) {
+        if (peer.state == state) {
+            return;
+        }
+        events.record(EventKind.MEMBER, peer.name(), peer.state + " -> " + state);
+        peer.state = state;
+        peer.stateSinceNanos = nowNanos;
+        changed = true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/member/Self.java
@@ -0,0 +1,94 @@
+package org.knapweedhatch.member;
+
+import java.util.List;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.knapweedhatch.world.Host;
+
+/** This process, and what it says of itself. */
+final class Self {
+
+    private final Host host;
+    private final LongSupplier configuration;
+    private final Supplier<Load> load;
+    private long incarnation;
+    private boolean leaving;
+    private boolean superseded;
+
+    Self(Host host, long incarnation, LongSupplier configuration, Supplier<Load> load) {
+        this.host = host;
+        this.incarnation = incarnation;
+        this.configuration = configuration;
+        this.load = load;
+    }
+
+    Host host() {
+        return host;
+    }
+
+    String name() {
+        return host.name();
+    }
+
+    String region() {
+        return host.region();
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    void renumber(long higher) {
+        incarnation = higher;
+    }
+
+    long configuration() {
+        return configuration.getAsLong();
+    }
+
+    Load load() {
+        return load.get();
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    /** Marks this process as draining; returns whether it was not before. */
+    boolean leave() {
+        boolean first = !leaving;
+        leaving = true;
+        return first;
+    }
+
+    boolean superseded() {
+        return superseded;
+    }
+
+    void supersede() {
+        superseded = true;
+    }
+
+    private MemberState state() {
+        if (superseded) {
+            return MemberState.SILENT;
+        }
+        return leaving ? MemberState.LEAVING : MemberState.ALIVE;
+    }
+
+    Member member() {
+        return new Member(host, incarnation, state(), configuration(), load());
+    }
+
+    Row row() {
+        return new Row(host, incarnation, state());
+    }
+
+    MemberMessage.Heartbeat heartbeat(List<Digest> relayed) {
+        return new MemberMessage.Heartbeat(incarnation, configuration(), load(), leaving, relayed);
+    }
+
+    MemberMessage.Introduction introduction(boolean answer) {
+        return new MemberMessage.Introduction(host, heartbeat(List.of()), answer);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/member/MembershipTest.java
@@ -0,0 +1,127 @@
+package org.knapweedhatch.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class MembershipTest {
+
+    private static final Duration IN_REGION = Duration.ofSeconds(3);
+    private static final Duration ELSEWHERE = Duration.ofSeconds(6);
+    private static final Set<MemberState> ALIVE = Set.of(MemberState.ALIVE);
+    private static final Set<MemberState> SILENT = Set.of(MemberState.SILENT);
+    private static final Set<MemberState> CUT_OFF = Set.of(MemberState.CUT_OFF);
+
+    private Net net;
+
+    @BeforeEach
+    void startThreeRegions() {
+        net = Net.of(7, 3, 2, 3);
+        net.run(Duration.ofSeconds(8));
+    }
+
+    @Test
+    void everyHostSeesEveryHostAlive() {
+        net.hosts.keySet().forEach(name -> assertEquals(ALIVE, net.seen(name), name));
+    }
+
+    @Test
+    void deadHostIsSilentEverywhere() {
+        net.kill("r0a-1");
+        net.run(IN_REGION);
+        assertEquals(SILENT, net.seenIn("r0", "r0a-1"));
+        net.run(ELSEWHERE.minus(IN_REGION));
+        assertEquals(SILENT, net.seen("r0a-1"));
+    }
+
+    @Test
+    void cutDomainIsCutOffAndNeverSilent() {
+        net.cut = (from, to) ->
+                net.domainOf(from).equals("r0a") != net.domainOf(to).equals("r0a");
+        for (int i = 0; i < 100; i++) {
+            net.run(Duration.ofMillis(100));
+            for (Net.Process process : net.processes.values()) {
+                for (int h = 0; h < 3; h++) {
+                    boolean inside = process.host.domain().equals("r0a");
+                    String other = inside ? "r0b-" + h : "r0a-" + h;
+                    assertFalse(process.sees(other) == MemberState.SILENT, process.host.name());
+                }
+            }
+        }
+        assertEquals(CUT_OFF, net.seenIn("r1", "r0a-0"));
+        assertEquals(CUT_OFF, Set.of(net.at("r0a-0").sees("r2b-1")));
+        assertEquals(MemberState.ALIVE, net.at("r0a-0").sees("r0a-1"));
+    }
+
+    @Test
+    void healedDomainIsBack() {
+        net.cut = (from, to) ->
+                net.domainOf(from).equals("r0a") != net.domainOf(to).equals("r0a");
+        net.run(Duration.ofMinutes(2));
+        net.cut = (from, to) -> false;
+        net.run(Duration.ofSeconds(3));
+        net.hosts.keySet().forEach(name -> assertEquals(ALIVE, net.seen(name), name));
+    }
+
+    @Test
+    void leavingHostIsSeenLeavingAndSaysGoodbye() {
+        net.at("r1a-0").membership.leave();
+        net.run(Duration.ofSeconds(3));
+        assertEquals(Set.of(MemberState.LEAVING), net.seen("r1a-0"));
+        net.send("r1a-0", net.at("r1a-0").membership.goodbye());
+        net.kill("r1a-0");
+        net.run(Duration.ofMillis(500));
+        assertEquals(SILENT, net.seenIn("r1", "r1a-0"));
+        net.run(Duration.ofSeconds(3));
+        assertEquals(SILENT, net.seen("r1a-0"));
+    }
+
+    @Test
+    void restartWithClockGoneBackGetsAHigherIncarnation() {
+        long old = net.at("r2b-2").membership.incarnation();
+        net.kill("r2b-2");
+        Net.Process later = net.start("r2b-2", List.of(), Duration.ofDays(-3));
+        assertTrue(later.membership.incarnation() < old);
+        net.run(Duration.ofSeconds(4));
+        assertTrue(later.membership.incarnation() > old);
+        assertTrue(later.membership.joined());
+        assertEquals(ALIVE, net.seen("r2b-2"));
+    }
+
+    @Test
+    void olderProcessAtTheSameNameGivesWay() {
+        Net.Process old = net.at("r2b-2");
+        net.paused.add("r2b-2");
+        net.run(Duration.ofSeconds(10));
+        net.paused.clear();
+        net.start("r2b-2");
+        net.run(Duration.ofSeconds(3));
+        net.send("r2b-2", old.membership.tick());
+        net.run(Duration.ofSeconds(1));
+        net.send(
+                "r2b-2",
+                old.membership.receive(
+                        "r0a-0",
+                        new MemberMessage.Superseded(net.at("r2b-2").membership.incarnation())));
+        assertTrue(old.membership.superseded());
+        assertFalse(net.at("r2b-2").membership.superseded());
+        assertEquals(ALIVE, net.seen("r2b-2"));
+    }
+
+    @Test
+    void hostThatIsBehindFindsOneThatIsAhead() {
+        assertTrue(net.at("r0a-0").membership.ahead().isEmpty());
+        net.at("r0b-1").configuration = 2;
+        net.run(Duration.ofSeconds(1));
+        assertEquals("r0b-1", net.at("r0a-0").membership.ahead().orElseThrow().name());
+        net.run(Duration.ofSeconds(3));
+        assertEquals(
+                "r0", net.at("r1a-0").membership.ahead().orElseThrow().host().region());
+    }
+}
