Add the first form of the limits that all hosts share

Cause: teams and links need limits that hold over all hosts without a central counter. Before: no package.

--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/limit/Borrower.java
@@ -0,0 +1,169 @@
+package org.knapweedhatch.limit;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.knapweedhatch.message.Outgoing;
+
+/** Decides whom to ask for loans of one limit, and takes the grants in. */
+final class Borrower {
+
+    private static final long HORIZON_NANOS = Duration.ofMillis(700).toNanos();
+    private static final long ANSWER_TIMEOUT_NANOS = Duration.ofMillis(250).toNanos();
+    private static final long BACK_OFF_NANOS = Duration.ofMillis(150).toNanos();
+    private static final long HINT_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final double POOR_ROUND = 0.1;
+    private static final double SMALLEST_REQUEST = 1e-4;
+    private static final int FAN_OUT = 8;
+
+    private record Hint(double spare, long at) {}
+
+    private record Sent(String peer, long at) {}
+
+    private final LimitId limit;
+    private final Bucket bucket;
+    private final long incarnation;
+    private final LimitSettings settings;
+    private final long leaseNanos;
+    private final LongSupplier clock;
+    private final Map<Long, Sent> sent = new HashMap<>();
+    private final Set<Long> awaited = new HashSet<>();
+    private final Map<String, Hint> hints = new HashMap<>();
+    private long roundAt;
+    private double roundAsked;
+    private double roundGot;
+    private long retryAt = Long.MIN_VALUE;
+    private long lastId;
+
+    Borrower(LimitId limit, Bucket bucket, LimitSettings settings, long incarnation, LongSupplier clock) {
+        this.limit = limit;
+        this.bucket = bucket;
+        this.incarnation = incarnation;
+        this.clock = clock;
+        this.settings = settings;
+        leaseNanos = settings.shortened(settings.lease());
+    }
+
+    /** Returns requests for what will be missing; none while earlier ones are under way. */
+    List<Outgoing> plan(Split split, String self, Predicate<String> reachable) {
+        long now = clock.getAsLong();
+        sent.values().removeIf(s -> now - s.at() > leaseNanos);
+        if (!awaited.isEmpty() && now - roundAt > ANSWER_TIMEOUT_NANOS) {
+            endRound(now);
+        }
+        if (!awaited.isEmpty() || now < retryAt) {
+            return List.of();
+        }
+        Shortage shortage = bucket.shortage(HORIZON_NANOS);
+        Map<String, Double> wishes =
+                shortage.isNone() ? Map.of() : wishes(shortage, expectations(shortage, split, self, now, reachable));
+        bucket.expectLoan(!wishes.isEmpty());
+        if (wishes.isEmpty() && !shortage.isNone()) {
+            retryAt = now + BACK_OFF_NANOS;
+        }
+        return requests(shortage, wishes, now);
+    }
+
+    private List<Outgoing> requests(Shortage shortage, Map<String, Double> wishes, long now) {
+        roundAt = now;
+        roundAsked = 0;
+        roundGot = 0;
+        List<Outgoing> out = new ArrayList<>();
+        wishes.forEach((peer, share) -> {
+            long id = ++lastId;
+            sent.put(id, new Sent(peer, now));
+            awaited.add(id);
+            roundAsked += share;
+            out.add(new Outgoing(
+                    peer,
+                    new LoanRequest(
+                            id, incarnation, limit, endingLoan(shortage, peer).id(), share)));
+        });
+        return out;
+    }
+
+    private static Loan endingLoan(Shortage shortage, String peer) {
+        return shortage.ending().stream()
+                .filter(loan -> loan.peer().equals(peer))
+                .max(Comparator.comparingDouble(Loan::share))
+                .orElse(new Loan(peer, 0, 0, 0));
+    }
+
+    /** Returns what each likely lender is asked for: renewals first, the rest in proportion to what it may spare. */
+    private static Map<String, Double> wishes(Shortage shortage, Map<String, Double> expectations) {
+        Map<String, Double> wishes = new HashMap<>();
+        double ending = shortage.ending().stream().mapToDouble(Loan::share).sum();
+        double renewed = Math.min(ending, shortage.share());
+        for (Loan loan : shortage.ending()) {
+            wishes.merge(loan.peer(), loan.share() * renewed / ending, Double::sum);
+        }
+        double rest = shortage.share() - renewed;
+        double expected =
+                expectations.values().stream().mapToDouble(Double::doubleValue).sum();
+        if (rest > 0 && expected > 0) {
+            expectations.forEach((peer, spare) -> wishes.merge(peer, rest * spare / expected, Double::sum));
+        }
+        wishes.values().removeIf(share -> share < SMALLEST_REQUEST);
+        return wishes;
+    }
+
+    private Map<String, Double> expectations(
+            Shortage shortage, Split split, String self, long now, Predicate<String> reachable) {
+        hints.values().removeIf(hint -> now - hint.at() > HINT_NANOS);
+        Map<String, Double> spares = new HashMap<>();
+        for (String owner : split.ownersOf(limit)) {
+            spares.put(owner, split.share(limit, owner));
+        }
+        hints.forEach((peer, hint) -> spares.put(peer, hint.spare()));
+        shortage.lent().forEach(loan -> spares.merge(loan.peer(), loan.share(), Double::sum));
+        Map<String, Double> best = new HashMap<>();
+        spares.entrySet().stream()
+                .filter(e -> !e.getKey().equals(self) && e.getValue() > 0 && reachable.test(e.getKey()))
+                .sorted(Map.Entry.<String, Double>comparingByValue()
+                        .reversed()
+                        .thenComparing(Map.Entry.comparingByKey()))
+                .limit(FAN_OUT)
+                .forEach(e -> best.put(e.getKey(), e.getValue()));
+        return best;
+    }
+
+    /** Takes a grant in; an unknown, late or repeated one is ignored. */
+    void granted(String from, LoanGrant grant, double lenderShare) {
+        Sent request = sent.get(grant.id());
+        if (request == null
+                || grant.incarnation() != incarnation
+                || !request.peer().equals(from)) {
+            return;
+        }
+        sent.remove(grant.id());
+        long now = clock.getAsLong();
+        if (grant.share() > 0) {
+            long end = request.at() + Math.min(leaseNanos, settings.shortened(Duration.ofNanos(grant.leaseNanos())));
+            bucket.borrow(new Loan(from, grant.id(), grant.share(), end), grant.renews(), grant.tokens());
+            roundGot += grant.share();
+        }
+        for (String other : grant.borrowers()) {
+            hints.putIfAbsent(other, new Hint(lenderShare, now));
+        }
+        hints.put(from, new Hint(grant.spare(), now));
+        awaited.remove(grant.id());
+        if (awaited.isEmpty()) {
+            endRound(now);
+        }
+    }
+
+    private void endRound(long now) {
+        awaited.clear();
+        if (roundGot < POOR_ROUND * roundAsked) {
+            retryAt = now + BACK_OFF_NANOS;
+            bucket.expectLoan(false);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/limit/LimitId.java
@@ -0,0 +1,58 @@
+package org.knapweedhatch.limit;
+
+import org.knapweedhatch.helper.Validate;
+
+/**
+ * Names one limit.
+ *
+ * @param kind what is limited
+ * @param name name of the limited thing, such as a team or {@code lima->trujillo}
+ */
+public record LimitId(Kind kind, String name) {
+
+    /** What a limit is about. */
+    public enum Kind {
+        /** Requests of a team; every host holds a share. */
+        TEAM {
+            @Override
+            String pool(String name) {
+                return Split.EVERYWHERE;
+            }
+        },
+        /** Bytes sent from one region to another; only hosts of the sending region hold a share. */
+        LINK {
+            @Override
+            String pool(String name) {
+                return name.substring(0, name.indexOf("->"));
+            }
+        };
+
+        abstract String pool(String name);
+    }
+
+    public LimitId {
+        Validate.notNull(kind, "kind");
+        Validate.notEmpty(name, "limit name");
+        Validate.isTrue(kind != Kind.LINK || name.contains("->"), "a link is named from->to: %s", name);
+    }
+
+    /** Returns the limit of a team's requests. */
+    public static LimitId team(String team) {
+        return new LimitId(Kind.TEAM, team);
+    }
+
+    /** Returns the limit of the bytes from one region to another. */
+    public static LimitId link(String from, String to) {
+        return new LimitId(Kind.LINK, from + "->" + to);
+    }
+
+    /** Returns the pool of slices that divides this limit: a region, or {@link Split#EVERYWHERE}. */
+    String pool() {
+        return kind.pool(name);
+    }
+
+    @Override
+    public String toString() {
+        return kind + ":" + name;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/limit/Loan.java
@@ -0,0 +1,20 @@
+package org.knapweedhatch.limit;
+
+/**
+ * A part of a limit that moved from one host to another for a time.
+ *
+ * @param peer the other host
+ * @param id id of the request that led to it
+ * @param share part of the limit
+ * @param end when it ends, on the local clock
+ */
+record Loan(String peer, long id, double share, long end) {
+
+    Loan withShare(double other) {
+        return new Loan(peer, id, other, end);
+    }
+
+    boolean is(String otherPeer, long otherId) {
+        return id == otherId && peer.equals(otherPeer);
+    }
+}
