--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/steer/SlotTerms.java
@@ -0,0 +1,30 @@
+package org.knapweedhatch.steer;
+
+import java.time.Duration;
+import org.knapweedhatch.helper.Validate;
+
+/**
+ * The times on which the ownership of slots rests.
+ *
+ * @param lease how long a reply of another host confirms a roster, counted from before it was asked
+ * @param longestRequest the longest that a target may go on with a request, the largest service timeout
+ */
+public record SlotTerms(Duration lease, Duration longestRequest) {
+
+    /** Lease that hosts use. */
+    public static final Duration LEASE = Duration.ofSeconds(2);
+
+    /** Largest difference in speed of two clocks, as a share of the time measured. */
+    static final double CLOCK_DRIFT = 0.01;
+
+    public SlotTerms {
+        Validate.isTrue(lease.compareTo(Duration.ZERO) > 0, "lease must be above zero: %s", lease);
+        Validate.isTrue(!longestRequest.isNegative(), "longestRequest must not be negative: %s", longestRequest);
+    }
+
+    /** Returns the time after which an owner that was not confirmed has stopped and its requests have ended. */
+    Duration takeOverDelay() {
+        double nanos = (lease.toNanos() + longestRequest.toNanos()) * (1 + 2 * CLOCK_DRIFT);
+        return Duration.ofNanos((long) Math.ceil(nanos));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/steer/TargetResult.java
@@ -0,0 +1,42 @@
+package org.knapweedhatch.steer;
+
+import java.time.Duration;
+
+/** How a request at a target ended, and what that says about the target. */
+public enum TargetResult {
+    /** A whole answer came. */
+    ANSWERED {
+        @Override
+        void tell(TargetPool pool, String target, Duration taken) {
+            pool.succeeded(target, taken);
+        }
+    },
+    /** The target refused the request without running it. */
+    SHED {
+        @Override
+        void tell(TargetPool pool, String target, Duration taken) {
+            pool.shed(target);
+        }
+    },
+    /** The connection could not be made or was lost, or the answer was broken. */
+    FAILED {
+        @Override
+        void tell(TargetPool pool, String target, Duration taken) {
+            pool.failed(target);
+        }
+    },
+    /** The target did not answer in time. */
+    LATE {
+        @Override
+        void tell(TargetPool pool, String target, Duration taken) {
+            pool.late(target, taken);
+        }
+    },
+    /** The caller went away; it says nothing about the target. */
+    CANCELLED {
+        @Override
+        void tell(TargetPool pool, String target, Duration taken) {}
+    };
+
+    abstract void tell(TargetPool pool, String target, Duration taken);
+}
