--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/answer/ClaimStore.java
@@ -0,0 +1,134 @@
+package org.knapweedhatch.answer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.knapweedhatch.answer.ClaimMessage.Copied;
+import org.knapweedhatch.answer.ClaimMessage.Verdict;
+
+/** The claims that one replica has recorded, each kept for {@link #KEPT}; guarded by {@link Claims}. */
+final class ClaimStore {
+
+    /** How long a claim and its answer are kept. */
+    static final Duration KEPT = Duration.ofMinutes(10);
+
+    /** Largest sum of the bodies kept; beyond it, further answers are kept without their body. */
+    static final long MOST_BODY_BYTES = 8_000_000;
+
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private long bodyBytes;
+
+    private static final class Entry {
+        private final Claimant claimant;
+        private final long recordedNanos;
+        private boolean released;
+        private boolean answered;
+        private Optional<KeptAnswer> answer = Optional.empty();
+
+        Entry(Claimant claimant, long recordedNanos) {
+            this.claimant = claimant;
+            this.recordedNanos = recordedNanos;
+        }
+    }
+
+    /** Records a claim where the key is free, and says what became of it. */
+    Verdict claim(String key, Claimant claimant, long now) {
+        Entry entry = entries.get(key);
+        boolean same = entry != null && entry.claimant.equals(claimant);
+        if (entry == null || entry.released && !same) {
+            put(key, new Entry(claimant, now));
+            return Verdict.GRANTED;
+        }
+        if (entry.answered) {
+            return Verdict.ANSWERED;
+        }
+        return same && !entry.released ? Verdict.GRANTED : Verdict.PENDING;
+    }
+
+    Optional<KeptAnswer> answer(String key) {
+        Entry entry = entries.get(key);
+        return entry == null ? Optional.empty() : entry.answer;
+    }
+
+    void answered(String key, Claimant claimant, Optional<KeptAnswer> answer, long now) {
+        Entry entry = entries.get(key);
+        if (entry == null || entry.released && !entry.claimant.equals(claimant)) {
+            entry = new Entry(claimant, now);
+            put(key, entry);
+        }
+        if (entry.claimant.equals(claimant) && !entry.answered) {
+            entry.answered = true;
+            entry.answer = answer.filter(kept -> bodyBytes + kept.body().length <= MOST_BODY_BYTES);
+            bodyBytes += bytes(entry);
+        }
+    }
+
+    /** Frees a key for other claimants; the same one can't claim it again. */
+    void release(String key, Claimant claimant, long now) {
+        Entry entry = entries.get(key);
+        if (entry == null) {
+            entry = new Entry(claimant, now);
+            put(key, entry);
+        }
+        if (entry.claimant.equals(claimant) && !entry.answered) {
+            entry.released = true;
+        }
+    }
+
+    private void put(String key, Entry entry) {
+        Entry old = entries.remove(key);
+        bodyBytes -= old == null ? 0 : bytes(old);
+        entries.put(key, entry);
+    }
+
+    private static long bytes(Entry entry) {
+        return entry.answer.map(kept -> (long) kept.body().length).orElse(0L);
+    }
+
+    /** Returns every claim that has not been released. */
+    List<Copied> copy(long now) {
+        List<Copied> copied = new ArrayList<>();
+        entries.forEach((key, entry) -> {
+            if (!entry.released) {
+                long age = now - entry.recordedNanos;
+                copied.add(new Copied(key, entry.claimant, entry.answered, entry.answer, age));
+            }
+        });
+        return copied;
+    }
+
+    /** Takes another replica's claim in; one that was answered wins over one that was not. */
+    void merge(Copied claim, long now) {
+        Entry known = entries.get(claim.key());
+        boolean kept = known != null && !known.released && (known.answered || !claim.answered());
+        boolean released = known != null && known.released && known.claimant.equals(claim.claimant());
+        if (kept || released) {
+            return;
+        }
+        put(claim.key(), new Entry(claim.claimant(), now - claim.ageNanos()));
+        if (claim.answered()) {
+            answered(claim.key(), claim.claimant(), claim.answer(), now);
+        }
+    }
+
+    /** Forgets the claims that are older than they are kept. */
+    void expire(long now) {
+        Iterator<Entry> oldestFirst = entries.values().iterator();
+        while (oldestFirst.hasNext()) {
+            Entry entry = oldestFirst.next();
+            if (now - entry.recordedNanos < KEPT.toNanos()) {
+                return;
+            }
+            bodyBytes -= bytes(entry);
+            oldestFirst.remove();
+        }
+    }
+
+    int size() {
+        return entries.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/answer/KeptAnswer.java
@@ -0,0 +1,40 @@
+package org.knapweedhatch.answer;
+
+import java.util.Arrays;
+import org.knapweedhatch.helper.Validate;
+
+/**
+ * An answer that is kept for repeats of its idempotency key.
+ *
+ * @param status HTTP status
+ * @param contentType media type of the body; empty where there was none
+ * @param body the whole body, at most {@link #MAX_BYTES}
+ */
+public record KeptAnswer(int status, String contentType, byte[] body) {
+
+    /** Largest body that is kept. */
+    public static final int MAX_BYTES = 4096;
+
+    public KeptAnswer {
+        Validate.notNull(contentType, "contentType");
+        Validate.isTrue(body.length <= MAX_BYTES, "body too large to keep: %d", body.length);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof KeptAnswer that
+                && status == that.status
+                && contentType.equals(that.contentType)
+                && Arrays.equals(body, that.body);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * status + Arrays.hashCode(body);
+    }
+
+    @Override
+    public String toString() {
+        return status + " " + contentType + ", " + body.length + " bytes";
+    }
+}
--- a/core/src/main/java/org/knapweedhatch/steer/Roster.java
+++ b/core/src/main/java/org/knapweedhatch/steer/Roster.java
@@ -35,17 +35,29 @@
     }
 
     private final long number;
+    private final long namesSince;
     private final Map<String, Entry> entries;
 
-    private Roster(long number, Map<String, Entry> entries) {
+    private Roster(long number, long namesSince, Map<String, Entry> entries) {
         this.number = number;
+        this.namesSince = namesSince;
         this.entries = entries;
     }
 
-    /** Creates a roster with a number; numbers only go up. */
-    public static Roster of(long number, Collection<Entry> entries) {
+    /** Creates a roster whose names have been the same since the roster with number {@code namesSince}. */
+    public static Roster of(long number, long namesSince, Collection<Entry> entries) {
+        Validate.isTrue(namesSince <= number, "the names date from a later roster: %d", namesSince);
         return new Roster(
-                number, entries.stream().collect(Collectors.toUnmodifiableMap(Entry::host, Function.identity())));
+                number,
+                namesSince,
+                entries.stream().collect(Collectors.toUnmodifiableMap(Entry::host, Function.identity())));
+    }
+
+    /** Returns the roster that follows this one. */
+    public Roster next(Collection<Entry> nextEntries) {
+        Roster next = of(number + 1, number + 1, nextEntries);
+        boolean sameNames = next.entries.keySet().equals(entries.keySet());
+        return sameNames ? of(number + 1, namesSince, nextEntries) : next;
     }
 
     /** Returns the number. */
@@ -53,6 +65,11 @@
         return number;
     }
 
+    /** Returns the number of the roster in which a host was last added or removed. */
+    public long namesSince() {
+        return namesSince;
+    }
+
     /** Returns the entries by host name. */
     public Map<String, Entry> entries() {
         return entries;
--- a/core/src/main/java/org/knapweedhatch/steer/SlotTerms.java
+++ b/core/src/main/java/org/knapweedhatch/steer/SlotTerms.java
@@ -7,13 +7,16 @@
  * The times on which the ownership of slots rests.
  *
  * @param lease how long a reply of another host confirms a roster, counted from before it was asked
- * @param longestRequest the longest that a target may go on with a request, the largest service timeout
+ * @param longestRequest the largest service timeout; a target ends a request {@link #DEADLINE_SLACK} later at most
  */
 public record SlotTerms(Duration lease, Duration longestRequest) {
 
     /** Lease that hosts use. */
     public static final Duration LEASE = Duration.ofSeconds(2);
 
+    /** How much later than a host a target may see a deadline pass. */
+    public static final Duration DEADLINE_SLACK = Duration.ofMillis(100);
+
     /** Largest difference in speed of two clocks, as a share of the time measured. */
     static final double CLOCK_DRIFT = 0.01;
 
@@ -24,7 +27,15 @@
 
     /** Returns the time after which an owner that was not confirmed has stopped and its requests have ended. */
     Duration takeOverDelay() {
-        double nanos = (lease.toNanos() + longestRequest.toNanos()) * (1 + 2 * CLOCK_DRIFT);
-        return Duration.ofNanos((long) Math.ceil(nanos));
+        return allowingForDrift(lease.plus(longestRequest).plus(DEADLINE_SLACK));
+    }
+
+    /** Returns the time after which every request of a process that is gone has ended. */
+    Duration longestRun() {
+        return allowingForDrift(longestRequest.plus(DEADLINE_SLACK));
+    }
+
+    private static Duration allowingForDrift(Duration time) {
+        return Duration.ofNanos((long) Math.ceil(time.toNanos() * (1 + 2 * CLOCK_DRIFT)));
     }
 }
--- a/core/src/main/java/org/knapweedhatch/steer/Slots.java
+++ b/core/src/main/java/org/knapweedhatch/steer/Slots.java
@@ -107,7 +107,7 @@
 
     private long quietUntil(Roster next) {
         long now = time.nanos();
-        long longest = terms.longestRequest().toNanos();
+        long longest = terms.longestRun().toNanos();
         if (current == null) {
             return firstProcess ? now : startedAt + longest;
         }
