--- a/core/src/main/java/org/knapweedhatch/release/ReleaseNote.java
+++ b/core/src/main/java/org/knapweedhatch/release/ReleaseNote.java
@@ -53,6 +53,11 @@
         });
     }
 
+    /** Returns whether a text may name a thing such as a team, a key or a target. */
+    public static boolean isName(String text) {
+        return NAME.matcher(text).matches();
+    }
+
     /** Returns the name of the file. */
     public String file() {
         return file;
