--- a/cli/src/main/java/org/knapweedhatch/cli/Acceptances.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/Acceptances.java
@@ -27,6 +27,12 @@
         if (acceptance instanceof Acceptance.Conflict conflict) {
             return conflict(session, conflict.since());
         }
+        if (acceptance instanceof Acceptance.Outdated outdated) {
+            session.print(new Report("outdated", outdated.latest(), false, List.of(), ""), List.of());
+            session.complain(
+                    "not accepted: configuration " + outdated.latest() + " is the latest, not " + outdated.expected());
+            return ExitCode.CONFLICT;
+        }
         if (acceptance instanceof Acceptance.Failed failed) {
             return failed(session, failed.fault());
         }
--- a/cli/src/test/java/org/knapweedhatch/cli/CliTest.java
+++ b/cli/src/test/java/org/knapweedhatch/cli/CliTest.java
@@ -167,7 +167,7 @@
 
     @Test
     void anotherNumberThanExpectedIsRefused() {
-        assertFalse(run("release", "accept", example(), "--after", "7") == ExitCode.OK);
+        assertEquals(ExitCode.CONFLICT, run("release", "accept", example(), "--after", "7"));
         assertEquals(0, memory.counts().writes());
     }
 
--- a/core/src/main/java/org/knapweedhatch/release/Acceptance.java
+++ b/core/src/main/java/org/knapweedhatch/release/Acceptance.java
@@ -16,6 +16,9 @@
     /** Another release came first; nothing of this note was applied. {@code since} is what changed under it. */
     record Conflict(Difference since) implements Acceptance {}
 
+    /** The latest configuration is another one than the caller expected; nothing was applied. */
+    record Outdated(long expected, long latest) implements Acceptance {}
+
     /** The platform could not be used; nothing of this note was applied. */
     record Failed(Fault fault) implements Acceptance {}
 
--- a/core/src/main/java/org/knapweedhatch/release/ReleaseStore.java
+++ b/core/src/main/java/org/knapweedhatch/release/ReleaseStore.java
@@ -4,12 +4,13 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.fault.Fault;
 import org.knapweedhatch.fault.Result;
-import org.knapweedhatch.fault.Step;
 import org.knapweedhatch.helper.Digests;
 import org.knapweedhatch.helper.Validate;
 import org.knapweedhatch.ini.Checked;
@@ -36,6 +37,7 @@
 
     private final ObjectApi api;
     private final Waiter waiter;
+    private final Map<String, byte[]> pieces = new ConcurrentHashMap<>();
 
     private ReleaseStore(ObjectApi api, Waiter waiter) {
         this.api = Validate.notNull(api, "api");
@@ -98,7 +100,7 @@
             return new Acceptance.Accepted(before.getAsLong(), true);
         }
         if (after.isPresent() && after.getAsLong() != head.number()) {
-            return expectedOther(after.getAsLong(), head);
+            return new Acceptance.Outdated(after.getAsLong(), head.number());
         }
         Result<Configuration> current = configuration(head);
         if (!current.isOk()) {
@@ -107,12 +109,6 @@
         return accept(note, seen.orThrow(), current.orThrow());
     }
 
-    private Acceptance expectedOther(long after, Head head) {
-        Fault fault =
-                Fault.at(Step.RELEASE, Names.HEAD, "configuration " + head.number() + " is the latest, not " + after);
-        return new Acceptance.Failed(fault);
-    }
-
     private Acceptance accept(ReleaseNote note, Seen seen, Configuration current) {
         Checked<Configuration> next = note.apply(current);
         if (!next.isValid()) {
@@ -216,7 +212,15 @@
     }
 
     private Result<byte[]> read(String digest) {
-        return api.read(Names.piece(digest)).then(object -> Pieces.verified(digest, object.body()));
+        byte[] known = pieces.get(digest);
+        if (known != null) {
+            return Result.ok(known);
+        }
+        Result<byte[]> read = api.read(Names.piece(digest)).then(object -> Pieces.verified(digest, object.body()));
+        if (read.isOk()) {
+            pieces.put(digest, read.orThrow());
+        }
+        return read;
     }
 
     private void pauseBefore(int tries) {
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/release/BadNoteTest.java
@@ -0,0 +1,213 @@
+package org.knapweedhatch.release;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.knapweedhatch.ini.Checked;
+import org.knapweedhatch.ini.FileFault;
+import org.knapweedhatch.platform.MemoryPlatform;
+import org.knapweedhatch.world.Configuration;
+
+/** Generated notes: whatever the bytes, the outcome is a list of faults or a whole configuration. */
+class BadNoteTest {
+
+    private static final List<String> WORDS = List.of(
+            "add",
+            "change",
+            "withdraw",
+            "region",
+            "domain",
+            "service",
+            "route",
+            "target",
+            "team",
+            "key",
+            "link",
+            "shift",
+            "blocks",
+            "drain",
+            "lima",
+            "lima-a",
+            "orders",
+            "orders-1",
+            "crew-1",
+            "crew-1-a",
+            "lima->arequipa",
+            "orders:lima->arequipa",
+            "target orders-1",
+            "lima->lima",
+            "->",
+            ":",
+            "",
+            "[",
+            "]",
+            "\u0000",
+            "ñandú",
+            "x".repeat(300),
+            "a b c d",
+            "arequipa");
+    private static final List<String> FIELDS = List.of(
+            "region",
+            "timeout",
+            "path",
+            "service",
+            "access",
+            "domain",
+            "address",
+            "slots",
+            "connections",
+            "rate",
+            "burst",
+            "team",
+            "digest",
+            "bytes-per-second",
+            "cap",
+            "cidrs",
+            "colour",
+            "");
+    private static final List<String> VALUES = List.of(
+            "lima",
+            "nowhere",
+            "0",
+            "-1",
+            "1",
+            "1e308",
+            "NaN",
+            "99999999999999999999",
+            "0.5",
+            "1.5",
+            "2s",
+            "2 fortnights",
+            "127.0.0.1:80",
+            "127.0.0.1:99999",
+            "999.0.0.1:1",
+            "[::1]:9",
+            "/orders",
+            "orders",
+            "keyed",
+            "open",
+            "KEYED",
+            "10.0.0.0/8",
+            "10.0.0.1/8",
+            "2001:db8::/129",
+            "10.1.0.0/16 10.1.0.0/16",
+            "a".repeat(64),
+            "A".repeat(64),
+            "",
+            " ",
+            "%s%n",
+            "\\u0041",
+            "${x}",
+            "١٢",
+            "y".repeat(2_000));
+
+    private static final Configuration BASE =
+            Notes.of(Notes.BASE).apply(Configuration.empty()).orThrow();
+    private static final byte[] GOOD = Notes.BASE.getBytes(StandardCharsets.UTF_8);
+
+    @Provide
+    Arbitrary<byte[]> grammatical() {
+        Arbitrary<String> field = Combinators.combine(Arbitraries.of(FIELDS), Arbitraries.of(VALUES))
+                .as((name, value) -> name + " = " + value + "\n");
+        Arbitrary<String> title =
+                Arbitraries.of(WORDS).list().ofMinSize(0).ofMaxSize(4).map(w -> String.join(" ", w));
+        Arbitrary<String> section = Combinators.combine(title, field.list().ofMaxSize(7))
+                .as((words, fields) -> "[" + words + "]\n" + String.join("", fields));
+        return section.list().ofMaxSize(6).map(all -> String.join("", all).getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Provide
+    Arbitrary<byte[]> damaged() {
+        Arbitrary<Integer> place = Arbitraries.integers().between(0, GOOD.length - 1);
+        Arbitrary<Byte> value = Arbitraries.bytes();
+        Arbitrary<List<byte[]>> edits = Combinators.combine(
+                        place, value, Arbitraries.integers().between(0, 2))
+                .as(BadNoteTest::edit)
+                .list()
+                .ofMinSize(1)
+                .ofMaxSize(6);
+        return edits.map(BadNoteTest::damage);
+    }
+
+    private static byte[] edit(int place, byte value, int kind) {
+        return new byte[] {(byte) (place >> 8), (byte) place, value, (byte) kind};
+    }
+
+    private static byte[] damage(List<byte[]> edits) {
+        byte[] bytes = GOOD;
+        for (byte[] edit : edits) {
+            int place = Math.min(bytes.length, (edit[0] & 0xff) << 8 | edit[1] & 0xff);
+            ByteArrayOutputStream next = new ByteArrayOutputStream();
+            next.writeBytes(Arrays.copyOf(bytes, place));
+            if (edit[3] != 0) {
+                next.write(edit[2]);
+            }
+            int from = Math.min(bytes.length, edit[3] == 2 ? place : place + 1);
+            next.writeBytes(Arrays.copyOfRange(bytes, from, bytes.length));
+            bytes = next.toByteArray();
+        }
+        return bytes;
+    }
+
+    @Property(tries = 5_000, seed = "11")
+    void grammaticalNonsenseEndsInFaultsOrAWholeConfiguration(@ForAll("grammatical") byte[] bytes) {
+        check(bytes, BASE);
+    }
+
+    @Property(tries = 5_000, seed = "12")
+    void damagedNotesEndInFaultsOrAWholeConfiguration(@ForAll("damaged") byte[] bytes) {
+        check(bytes, Configuration.empty());
+    }
+
+    @Property(tries = 2_000, seed = "13")
+    void anyBytesEndInFaultsOrAWholeConfiguration(@ForAll byte[] bytes) {
+        check(bytes, BASE);
+    }
+
+    /** What is refused names a place and leaves the platform untouched; what is taken can be read back as it was. */
+    private static void check(byte[] bytes, Configuration current) {
+        Checked<Configuration> next = ReleaseNote.parse("n.ini", bytes).then(note -> note.apply(current));
+        if (!next.isValid()) {
+            assertFalse(next.faults().isEmpty());
+            next.faults().forEach(BadNoteTest::checkFault);
+            return;
+        }
+        assertEquals(current.number() + 1, next.orThrow().number());
+        Configuration.Builder again = Configuration.builder();
+        for (Chunk chunk : Chunks.of(next.orThrow())) {
+            chunk.things().orThrow().forEach(thing -> thing.put(again));
+        }
+        assertEquals(next.orThrow(), again.build(next.orThrow().number()));
+    }
+
+    private static void checkFault(FileFault fault) {
+        assertEquals("n.ini", fault.file());
+        assertTrue(fault.line() >= 0);
+        assertFalse(fault.message().contains("Exception") || fault.message().contains("null"), fault.toString());
+    }
+
+    @Property(tries = 300, seed = "14")
+    void aRefusedNoteLeavesThePlatformAsItWas(@ForAll("grammatical") byte[] bytes) {
+        MemoryPlatform platform = MemoryPlatform.create(pause -> {});
+        ReleaseStore store = ReleaseStore.over(platform, pause -> {});
+        store.accept(Notes.of(Notes.BASE));
+        List<Object> before = new ArrayList<>(platform.list("").orThrow());
+        Checked<ReleaseNote> note = ReleaseNote.parse("n.ini", bytes);
+        if (note.isValid() && store.accept(note.orThrow()) instanceof Acceptance.Accepted) {
+            return;
+        }
+        assertEquals(before, platform.list("").orThrow());
+    }
+}
--- a/core/src/test/java/org/knapweedhatch/release/ReleaseStoreTest.java
+++ b/core/src/test/java/org/knapweedhatch/release/ReleaseStoreTest.java
@@ -99,7 +99,7 @@
     @Test
     void aNoteForAnotherConfigurationIsRefused() {
         store.accept(base);
-        assertInstanceOf(Acceptance.Failed.class, store.accept(faster, OptionalLong.of(0)));
+        assertEquals(new Acceptance.Outdated(0, 1), store.accept(faster, OptionalLong.of(0)));
         assertInstanceOf(Accepted.class, store.accept(faster, OptionalLong.of(1)));
     }
 }
