--- a/core/src/test/java/org/knapweedhatch/release/BadNoteTest.java
+++ b/core/src/test/java/org/knapweedhatch/release/BadNoteTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
 import org.knapweedhatch.ini.Checked;
 import org.knapweedhatch.ini.FileFault;
 import org.knapweedhatch.platform.MemoryPlatform;
@@ -121,11 +122,17 @@
     Arbitrary<byte[]> grammatical() {
         Arbitrary<String> field = Combinators.combine(Arbitraries.of(FIELDS), Arbitraries.of(VALUES))
                 .as((name, value) -> name + " = " + value + "\n");
-        Arbitrary<String> title =
-                Arbitraries.of(WORDS).list().ofMinSize(0).ofMaxSize(4).map(w -> String.join(" ", w));
-        Arbitrary<String> section = Combinators.combine(title, field.list().ofMaxSize(7))
+        Arbitrary<String> loose = Arbitraries.of(WORDS).list().ofMaxSize(4).map(w -> String.join(" ", w));
+        Arbitrary<String> proper = Combinators.combine(
+                        Arbitraries.of(Verb.values()), Arbitraries.of(Kind.values()), Arbitraries.of(WORDS))
+                .as((verb, kind, name) -> verb.word() + " " + kind.word() + " " + name);
+        Arbitrary<String> title = Arbitraries.frequencyOf(Tuple.of(1, loose), Tuple.of(9, proper));
+        Arbitrary<String> section = Combinators.combine(title, field.list().ofMaxSize(4))
                 .as((words, fields) -> "[" + words + "]\n" + String.join("", fields));
-        return section.list().ofMaxSize(6).map(all -> String.join("", all).getBytes(StandardCharsets.UTF_8));
+        return section.list()
+                .ofMinSize(1)
+                .ofMaxSize(3)
+                .map(all -> String.join("", all).getBytes(StandardCharsets.UTF_8));
     }
 
     @Provide
@@ -141,6 +148,30 @@
         return edits.map(BadNoteTest::damage);
     }
 
+    @Provide
+    Arbitrary<byte[]> rewritten() {
+        List<String> lines = Notes.BASE.lines().toList();
+        Arbitrary<String> field = Combinators.combine(Arbitraries.of(FIELDS), Arbitraries.of(VALUES))
+                .as((name, value) -> name + " = " + value);
+        Arbitrary<String> line = Arbitraries.oneOf(field, Arbitraries.of(lines));
+        Arbitrary<Integer> place = Arbitraries.integers().between(0, lines.size() - 1);
+        Arbitrary<List<String>> once = Combinators.combine(
+                        place, line, Arbitraries.integers().between(0, 9))
+                .as((at, text, kind) -> rewrite(lines, at, text, kind));
+        return once.map(all -> String.join("\n", all).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static List<String> rewrite(List<String> lines, int at, String text, int kind) {
+        List<String> next = new ArrayList<>(lines);
+        switch (kind) {
+            case 0 -> next.remove(at);
+            case 1 -> next.set(at, text);
+            case 2 -> next.add(at, text);
+            default -> next.set(at, next.get(at).replaceFirst("= .*", "= ") + text.substring(text.indexOf('=') + 1));
+        }
+        return next;
+    }
+
     private static byte[] edit(int place, byte value, int kind) {
         return new byte[] {(byte) (place >> 8), (byte) place, value, (byte) kind};
     }
@@ -171,6 +202,11 @@
         check(bytes, Configuration.empty());
     }
 
+    @Property(tries = 5_000, seed = "15")
+    void notesWithOneLineRewrittenEndInFaultsOrAWholeConfiguration(@ForAll("rewritten") byte[] bytes) {
+        check(bytes, Configuration.empty());
+    }
+
     @Property(tries = 2_000, seed = "13")
     void anyBytesEndInFaultsOrAWholeConfiguration(@ForAll byte[] bytes) {
         check(bytes, BASE);
