--- a/core/src/main/java/org/knapweedhatch/world/ClientBlock.java
+++ b/core/src/main/java/org/knapweedhatch/world/ClientBlock.java
@@ -1,5 +1,6 @@
 package org.knapweedhatch.world;
 
+import java.util.regex.Pattern;
 import org.knapweedhatch.helper.Validate;
 
 /**
@@ -9,8 +10,11 @@
  * @param region nearest region
  */
 public record ClientBlock(String cidr, String region) {
+
+    private static final Pattern CIDR = Pattern.compile("[0-9a-fA-F.:]+/\\d{1,3}");
+
     public ClientBlock {
-        Validate.isTrue(cidr.matches("[0-9a-fA-F.:]+/\\d{1,3}"), "not a CIDR block: %s", cidr);
+        Validate.isTrue(CIDR.matcher(cidr).matches(), "not a CIDR block: %s", cidr);
         Validate.notEmpty(region, "region");
     }
 }
--- a/core/src/main/java/org/knapweedhatch/world/Configuration.java
+++ b/core/src/main/java/org/knapweedhatch/world/Configuration.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -241,7 +242,7 @@
         private final Map<String, Key> keys = new TreeMap<>();
         private final Map<String, Link> links = new TreeMap<>();
         private final Map<String, Shift> shifts = new TreeMap<>();
-        private final Map<String, ClientBlock> blocks = new TreeMap<>();
+        private final Map<String, ClientBlock> blocks = new HashMap<>();
         private final Set<Drain> drains = new HashSet<>();
 
         private Builder() {}
--- a/core/src/test/java/org/knapweedhatch/ini/IniFileTest.java
+++ b/core/src/test/java/org/knapweedhatch/ini/IniFileTest.java
@@ -91,6 +91,20 @@
         assertEquals(IpNumbers.block("2001:db8::/32"), IpNumbers.block("2001:0DB8:0::/32"));
         assertTrue(IpNumbers.block("10.1.0.1/16").isEmpty());
         assertTrue(IpNumbers.block("10.1.0.0/33").isEmpty());
-        assertTrue(IpNumbers.block("10.1/16").isEmpty());
+        for (String bad : List.of(
+                "10.1/16",
+                "10.1.0.256/32",
+                "10.01.0.0/16",
+                "10.1.0.0.0/16",
+                "10.1.0./16",
+                ".1.0.0/16",
+                "10.1.0.0/",
+                "10.1.0.0/016",
+                "1e.1.0.0/16",
+                "10.1.0.0",
+                "/8",
+                "")) {
+            assertTrue(IpNumbers.block(bad).isEmpty(), bad);
+        }
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/release/FollowerFleet.java
@@ -0,0 +1,195 @@
+package org.knapweedhatch.release;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import org.knapweedhatch.clock.ManualTime;
+import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.member.Load;
+import org.knapweedhatch.member.Member;
+import org.knapweedhatch.member.MemberState;
+import org.knapweedhatch.member.View;
+import org.knapweedhatch.message.PeerMessage;
+import org.knapweedhatch.platform.MemoryPlatform;
+import org.knapweedhatch.platform.Problem;
+import org.knapweedhatch.platform.StoredObject;
+import org.knapweedhatch.timeline.EventSink;
+import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.Host;
+
+/** Followers with a platform and a lossy network between them; a round is 200 ms of manual time. */
+final class FollowerFleet {
+
+    private static final Duration ROUND = Duration.ofMillis(200);
+    private static final int MAX_ROUNDS = 600;
+    private static final Duration START_WAIT = Duration.ofSeconds(1);
+
+    private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
+    private final MemoryPlatform platform = MemoryPlatform.create(time::advance);
+    private final ReleaseStore store = ReleaseStore.over(platform, pause -> {});
+    private final List<Node> nodes = new ArrayList<>();
+    private final Deque<Runnable> network = new ArrayDeque<>();
+    private final List<String> reversals = new ArrayList<>();
+    private final Random random;
+    private final View view;
+    private int lossPercent;
+    private long latest;
+
+    private static final class Node {
+        private final Host host;
+        private ConfigurationFollower follower;
+        private long number;
+        private boolean cut;
+        private StoredObject staleHead;
+
+        private Node(Host host) {
+            this.host = host;
+        }
+    }
+
+    private FollowerFleet(int hosts, int domains, int seed, int lossPercent) {
+        this.random = new Random(seed);
+        this.lossPercent = lossPercent;
+        Address address = new Address("127.0.0.1", 1);
+        for (int i = 0; i < hosts; i++) {
+            Node node = new Node(new Host("h" + i, "lima", "d" + i % domains, address, address));
+            node.follower = ConfigurationFollower.create(time, START_WAIT, EventSink.none());
+            nodes.add(node);
+        }
+        this.view = View.of(
+                "h0",
+                nodes.stream()
+                        .map(n -> new Member(n.host, 1, MemberState.ALIVE, 0, Load.NONE))
+                        .toList());
+    }
+
+    static FollowerFleet of(int hosts, int domains, int seed, int lossPercent) {
+        return new FollowerFleet(hosts, domains, seed, lossPercent);
+    }
+
+    MemoryPlatform platform() {
+        return platform;
+    }
+
+    void accept(String note) {
+        latest = assertInstanceOf(Acceptance.Accepted.class, store.accept(Notes.of(note)))
+                .number();
+    }
+
+    long hostsAt(long number) {
+        return nodes.stream()
+                .filter(n -> n.follower.inForce().number() == number)
+                .count();
+    }
+
+    List<String> reversals() {
+        return reversals;
+    }
+
+    void cutFromThePlatform(int index) {
+        nodes.get(index).cut = true;
+    }
+
+    void cutOneFromThePlatform() {
+        cutFromThePlatform(random.nextInt(nodes.size()));
+    }
+
+    /** A new process at a host: it holds nothing, and the platform may show it an old head first. */
+    void restartOne() {
+        Node node = nodes.get(random.nextInt(nodes.size()));
+        node.follower = ConfigurationFollower.create(time, START_WAIT, EventSink.none());
+        node.number = 0;
+    }
+
+    void healAndSettle() {
+        lossPercent = 0;
+        nodes.forEach(n -> n.cut = false);
+        settle();
+    }
+
+    /** Runs until every host has the latest number, and returns the milliseconds that it took. */
+    long settle() {
+        long start = time.nanos();
+        for (int i = 0; i < MAX_ROUNDS && hostsAt(latest) < nodes.size(); i++) {
+            rounds(1);
+        }
+        return Duration.ofNanos(time.nanos() - start).toMillis();
+    }
+
+    void rounds(int count) {
+        for (int i = 0; i < count; i++) {
+            time.advance(ROUND);
+            nodes.forEach(this::round);
+            while (!network.isEmpty()) {
+                network.remove().run();
+            }
+        }
+    }
+
+    private void round(Node node) {
+        List<String> watchers = Watchers.of(view, node.host.domain());
+        StoredObject head =
+                platform.list(Names.HEAD).orThrow().stream().findFirst().orElse(null);
+        if (watchers.contains(node.host.name()) && !node.cut && head != null) {
+            boolean stale = lossPercent > 0 && node.staleHead != null && random.nextInt(3) == 0;
+            perform(node, node.follower.headRead(stale ? node.staleHead : head));
+            node.staleHead = node.staleHead == null || random.nextInt(4) == 0 ? head : node.staleHead;
+        }
+        Node peer = nodes.get(random.nextInt(nodes.size()));
+        perform(
+                node,
+                node.follower.peerNumber(
+                        peer.host.name(), peer.follower.inForce().number()));
+        perform(node, node.follower.tick());
+    }
+
+    private void perform(Node node, List<FollowerEffect> effects) {
+        for (FollowerEffect effect : effects) {
+            if (effect instanceof FollowerEffect.ReadPiece read) {
+                network.add(() -> perform(node, node.follower.pieceRead(read.digest(), read(node, read.object()))));
+            } else if (effect instanceof FollowerEffect.Send send) {
+                send(node, send.outgoing().toHost(), send.outgoing().message());
+            } else if (effect instanceof FollowerEffect.InForce inForce) {
+                inForce(node, inForce.configuration().number());
+            }
+        }
+    }
+
+    private Result<StoredObject> read(Node node, String object) {
+        return node.cut ? Result.failed(Problem.UNAVAILABLE.fault(object, "cut off")) : platform.read(object);
+    }
+
+    private void inForce(Node node, long number) {
+        if (number <= node.number) {
+            reversals.add(node.host.name() + " went from " + node.number + " to " + number);
+        }
+        node.number = number;
+    }
+
+    private void send(Node from, String to, PeerMessage message) {
+        Node node =
+                nodes.stream().filter(n -> n.host.name().equals(to)).findFirst().orElseThrow();
+        int copies = random.nextInt(100) < lossPercent ? random.nextInt(2) * 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            network.add(() -> perform(node, deliver(node.follower, from.host.name(), message)));
+        }
+    }
+
+    private static List<FollowerEffect> deliver(ConfigurationFollower to, String from, PeerMessage message) {
+        if (message instanceof OfferRequest request) {
+            return to.received(from, request);
+        }
+        if (message instanceof PieceRequest request) {
+            return to.received(from, request);
+        }
+        return message instanceof ReleaseOffer offer
+                ? to.received(from, offer)
+                : to.received(from, (PieceAnswer) message);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/release/FollowerFleetTest.java
@@ -0,0 +1,66 @@
+package org.knapweedhatch.release;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.knapweedhatch.platform.CallCounts;
+
+/** Many hosts that follow one platform and each other. */
+class FollowerFleetTest {
+
+    private static final List<String> CHANGES = List.of(
+            Notes.BASE,
+            "[change team crew-1]\nrate = 200\n",
+            "[withdraw key crew-1-a]\n",
+            "[add drain region lima]\n",
+            "[change team crew-1]\nrate = 300\n");
+
+    @ParameterizedTest
+    @ValueSource(ints = {9, 27, 81, 243})
+    void platformCallsPerChangeGrowWithTheDomainsAndNotWithTheHosts(int hosts) {
+        FollowerFleet fleet = FollowerFleet.of(hosts, 6, 1, 0);
+        CHANGES.forEach(note -> {
+            fleet.accept(note);
+            fleet.settle();
+        });
+        CallCounts before = fleet.platform().counts();
+        fleet.accept("[change team crew-1]\nrate = 400\n");
+        CallCounts accepted = fleet.platform().counts();
+        fleet.settle();
+        long reads = fleet.platform().counts().since(accepted).reads();
+        int watchers = 6 * Watchers.PER_DOMAIN;
+        assertTrue(accepted.since(before).total() <= 20);
+        assertTrue(reads <= Math.min(hosts, watchers) * 3L, "reads " + reads);
+        assertEquals(hosts, fleet.hostsAt(6));
+    }
+
+    @Property(tries = 200, seed = "21")
+    void numbersOnlyGoUpAndEveryHostArrivesThroughLossStalenessAndRestarts(@ForAll int seed) {
+        FollowerFleet fleet = FollowerFleet.of(9, 6, seed, 25);
+        for (String note : CHANGES) {
+            fleet.accept(note);
+            fleet.rounds(3);
+            fleet.restartOne();
+            fleet.cutOneFromThePlatform();
+        }
+        fleet.healAndSettle();
+        assertEquals(9, fleet.hostsAt(CHANGES.size()));
+        assertEquals(List.of(), fleet.reversals());
+    }
+
+    @Test
+    void oneHostThatReachesOnlyItsPeersIsAsFastAsTheyAre() {
+        FollowerFleet fleet = FollowerFleet.of(9, 6, 3, 0);
+        fleet.cutFromThePlatform(4);
+        fleet.accept(Notes.BASE);
+        long millis = fleet.settle();
+        assertEquals(9, fleet.hostsAt(1));
+        assertTrue(millis <= 5_000, "millis " + millis);
+    }
+}
