--- a/core/src/main/java/org/knapweedhatch/release/Head.java
+++ b/core/src/main/java/org/knapweedhatch/release/Head.java
@@ -12,19 +12,24 @@
  * @param number number of the configuration
  * @param manifest digest of its manifest
  * @param accepted the notes accepted last, at most {@link #REMEMBERED_NOTES}, latest first
+ * @param earlier digests of the manifests before, at most {@link #KEPT_MANIFESTS}, latest first
  */
-public record Head(long number, String manifest, List<AcceptedNote> accepted) {
+public record Head(long number, String manifest, List<AcceptedNote> accepted, List<String> earlier) {
+
+    /** Earlier manifests whose pieces stay in the platform, for hosts that are still fetching them. */
+    static final int KEPT_MANIFESTS = 4;
 
     /** Accepted notes that are known again when they are sent again. */
     public static final int REMEMBERED_NOTES = 256;
 
     /** The head before any release. */
-    static final Head NONE = new Head(0, "", List.of());
+    static final Head NONE = new Head(0, "", List.of(), List.of());
 
     public Head {
         Validate.notNegative(number, "number");
         Validate.notNull(manifest, "manifest");
         accepted = List.copyOf(accepted);
+        earlier = List.copyOf(earlier);
     }
 
     /** A note's digest and the number of the configuration that it made. */
@@ -32,10 +37,16 @@
 
     /** Returns the head that follows after a note. */
     Head next(String manifestDigest, String noteDigest) {
-        List<AcceptedNote> notes = new ArrayList<>();
-        notes.add(new AcceptedNote(noteDigest, number + 1));
-        notes.addAll(accepted.subList(0, Math.min(accepted.size(), REMEMBERED_NOTES - 1)));
-        return new Head(number + 1, manifestDigest, notes);
+        List<AcceptedNote> notes = before(new AcceptedNote(noteDigest, number + 1), accepted, REMEMBERED_NOTES);
+        List<String> manifests = number == 0 ? List.of() : before(manifest, earlier, KEPT_MANIFESTS);
+        return new Head(number + 1, manifestDigest, notes, manifests);
+    }
+
+    private static <T> List<T> before(T latest, List<T> rest, int max) {
+        List<T> all = new ArrayList<>();
+        all.add(latest);
+        all.addAll(rest.subList(0, Math.min(rest.size(), max - 1)));
+        return all;
     }
 
     /** Returns the number that a note was accepted as, where it is remembered. */
--- a/core/src/main/java/org/knapweedhatch/release/ReleaseStore.java
+++ b/core/src/main/java/org/knapweedhatch/release/ReleaseStore.java
@@ -129,6 +129,7 @@
             pauseBefore(tries);
             Result<StoredObject> written = write(Names.HEAD, next.bytes(), seen.version());
             if (written.isOk()) {
+                Sweep.over(api).after(seen.head(), next, written.orThrow().version());
                 return new Acceptance.Accepted(next.number(), false);
             }
             last = written.fault();
@@ -184,7 +185,10 @@
         for (int tries = 0; tries < MAX_TRIES; tries++) {
             pauseBefore(tries);
             Result<StoredObject> created = api.create(Names.piece(digest), bytes);
-            if (created.isOk() || Problem.CONFLICT.is(created.fault())) {
+            if (!created.isOk() && Problem.CONFLICT.is(created.fault())) {
+                created = renew(digest, bytes);
+            }
+            if (created.isOk()) {
                 return Result.ok(digest);
             }
             last = created.fault();
@@ -195,6 +199,11 @@
         return Result.failed(last);
     }
 
+    /** Gives a piece that is there already a new version, so that no sweep of an earlier release deletes it. */
+    private Result<StoredObject> renew(String digest, byte[] bytes) {
+        return api.read(Names.piece(digest)).then(piece -> api.update(piece.name(), bytes, piece.version()));
+    }
+
     private Result<StoredObject> write(String name, byte[] bytes, long version) {
         return version == 0 ? api.create(name, bytes) : api.update(name, bytes, version);
     }
--- a/core/src/test/java/org/knapweedhatch/release/ReleaseStoreTest.java
+++ b/core/src/test/java/org/knapweedhatch/release/ReleaseStoreTest.java
@@ -96,6 +96,36 @@
         assertEquals(2, store.current().orThrow().number());
     }
 
+    @Test
+    void piecesThatNoKeptReleaseNamesAreDeleted() {
+        store.accept(base);
+        for (int i = 0; i < 30; i++) {
+            store.accept(Notes.of("[change team crew-1]\nrate = " + (200 + i) + "\n"));
+        }
+        int kept = Head.KEPT_MANIFESTS + 1;
+        int chunks = Chunks.of(store.current().orThrow()).size();
+        assertEquals(
+                1 + kept + kept + chunks - 1,
+                platform.list("release/").orThrow().size());
+    }
+
+    @Test
+    void aPieceThatComesBackWhileItIsSweptStays() {
+        store.accept(base);
+        for (int round = 0; round < 12; round++) {
+            String back = "# " + round + "\n[change team crew-1]\nrate = 100\n";
+            for (int i = 0; i <= Head.KEPT_MANIFESTS; i++) {
+                int rate = 200 + round * 10 + i;
+                RacingApi racing = new RacingApi(platform, () -> store.accept(Notes.of(back)));
+                ReleaseStore.over(racing, time::advance)
+                        .accept(Notes.of("# " + rate + "\n[change team crew-1]\nrate = " + rate + "\n"));
+                store.accept(Notes.of("[change team crew-1]\nrate = " + rate + "\nburst = " + rate + "\n"));
+                ReleaseStore fresh = ReleaseStore.over(platform, time::advance);
+                assertTrue(fresh.current().isOk(), "round " + round);
+            }
+        }
+    }
+
     @Test
     void aNoteForAnotherConfigurationIsRefused() {
         store.accept(base);
