--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/platform/MemoryPlatformConcurrencyTest.java
@@ -0,0 +1,47 @@
+package org.knapweedhatch.platform;
+
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.junit.jupiter.api.Test;
+import org.knapweedhatch.fault.Result;
+
+/** Conditional writes and reads of one object from several threads at once. */
+public class MemoryPlatformConcurrencyTest {
+
+    private final MemoryPlatform platform = MemoryPlatform.create(pause -> {});
+
+    private static String text(Result<StoredObject> result) {
+        return result.isOk() ? "v" + result.orThrow().version() : result.fault().message();
+    }
+
+    @Operation
+    public String create() {
+        return text(platform.create("x", new byte[0]));
+    }
+
+    @Operation
+    public String firstUpdate() {
+        return text(platform.update("x", new byte[] {2}, 1));
+    }
+
+    @Operation
+    public String read() {
+        return text(platform.read("x"));
+    }
+
+    @Operation
+    public String delete() {
+        Result<Long> gone = platform.delete("x", 1);
+        return gone.isOk() ? "v" + gone.orThrow() : gone.fault().message();
+    }
+
+    @Test
+    void conditionalWritesTakeEffectOneAfterTheOther() {
+        new StressOptions()
+                .iterations(8)
+                .invocationsPerIteration(100)
+                .threads(3)
+                .actorsPerThread(3)
+                .check(MemoryPlatformConcurrencyTest.class);
+    }
+}
