--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/peer/Records.java
@@ -0,0 +1,57 @@
+package org.knapweedhatch.peer;
+
+import com.google.protobuf.ByteString;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import org.knapweedhatch.peer.proto.AddressRecord;
+import org.knapweedhatch.peer.proto.HostRecord;
+import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.Host;
+
+/** The protobuf forms of hosts and addresses, shared by the codecs. */
+public final class Records {
+
+    private static final int IPV6_BYTES = 16;
+
+    private Records() {}
+
+    /** Returns the record of a host. */
+    public static HostRecord host(Host host) {
+        return HostRecord.newBuilder()
+                .setName(host.name())
+                .setRegion(host.region())
+                .setDomain(host.domain())
+                .setEdge(address(host.edge()))
+                .setPeer(address(host.peer()))
+                .build();
+    }
+
+    /** Returns the host of a record, or throws {@link IllegalArgumentException}. */
+    public static Host host(HostRecord record) {
+        return host(record, record.getRegion());
+    }
+
+    /** Returns the host of a record that leaves out the region. */
+    static Host host(HostRecord record, String region) {
+        return new Host(
+                record.getName(), region, record.getDomain(), address(record.getEdge()), address(record.getPeer()));
+    }
+
+    private static AddressRecord address(Address address) {
+        return AddressRecord.newBuilder()
+                .setIp(ByteString.copyFrom(address.socket().getAddress().getAddress()))
+                .setPort(address.port())
+                .build();
+    }
+
+    private static Address address(AddressRecord record) {
+        try {
+            InetAddress ip = InetAddress.getByAddress(record.getIp().toByteArray());
+            boolean six = record.getIp().size() == IPV6_BYTES;
+            String text = six ? "[" + ip.getHostAddress() + "]" : ip.getHostAddress();
+            return new Address(text, record.getPort());
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("not an IP number of 4 or 16 bytes", e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/peer/PeerCodecsTest.java
@@ -0,0 +1,118 @@
+package org.knapweedhatch.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.knapweedhatch.member.Digest;
+import org.knapweedhatch.member.Load;
+import org.knapweedhatch.member.MemberMessage;
+import org.knapweedhatch.member.MemberState;
+import org.knapweedhatch.member.Row;
+import org.knapweedhatch.member.Sighting;
+import org.knapweedhatch.peer.proto.Envelope;
+import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.Host;
+
+class PeerCodecsTest {
+
+    private final PeerCodecs codecs = PeerCodecs.of(new MemberCodec());
+
+    @Property(tries = 2_000, seed = "41")
+    void messagesComeBackAsTheyWere(@ForAll("messages") MemberMessage message) {
+        Envelope envelope = codecs.encode(message).build();
+        assertEquals(message, codecs.decode("peer", envelope).orThrow());
+    }
+
+    @Property(tries = 20_000, seed = "42")
+    void randomBytesEndInAMessageOrAFault(@ForAll("kinds") int kind, @ForAll byte[] body) {
+        decode(kind, ByteString.copyFrom(body));
+    }
+
+    @Property(tries = 20_000, seed = "43")
+    void damagedMessagesEndInAMessageOrAFault(
+            @ForAll("messages") MemberMessage message, @ForAll int position, @ForAll byte value) {
+        Envelope envelope = codecs.encode(message).build();
+        byte[] body = envelope.getBody().toByteArray();
+        if (body.length > 0) {
+            body[Math.floorMod(position, body.length)] = value;
+        }
+        decode(envelope.getKind(), ByteString.copyFrom(body));
+    }
+
+    private void decode(int kind, ByteString body) {
+        Envelope envelope = Envelope.newBuilder().setKind(kind).setBody(body).build();
+        assertNotNull(codecs.decode("peer", envelope));
+    }
+
+    @Example
+    void twoCodecsMayNotClaimOneNumber() {
+        assertThrows(IllegalArgumentException.class, () -> PeerCodecs.of(new MemberCodec(), new MemberCodec()));
+    }
+
+    @Provide
+    Arbitrary<Integer> kinds() {
+        return Arbitraries.integers().between(10, 18);
+    }
+
+    @Provide
+    Arbitrary<MemberMessage> messages() {
+        Arbitrary<Long> numbers = Arbitraries.longs().greaterOrEqual(0);
+        Arbitrary<String> names = Arbitraries.of("lima-a-1", "lima-b-2", "trujillo-a-1");
+        Arbitrary<MemberMessage.Heartbeat> heartbeats = Combinators.combine(
+                        numbers,
+                        numbers,
+                        loads(),
+                        Arbitraries.of(true, false),
+                        digests().list().ofMaxSize(3))
+                .as(MemberMessage.Heartbeat::new);
+        Arbitrary<Sighting> sightings = Combinators.combine(names, numbers, numbers, Arbitraries.of(true, false))
+                .as(Sighting::new);
+        return Arbitraries.oneOf(
+                heartbeats,
+                Combinators.combine(hosts(), heartbeats, Arbitraries.of(true, false))
+                        .as(MemberMessage.Introduction::new),
+                Combinators.combine(hosts(), numbers, digests()).as(MemberMessage.RegionDigest::new),
+                names.map(MemberMessage.TableRequest::new),
+                digests().map(MemberMessage.Table::new),
+                names.list().ofMaxSize(5).map(MemberMessage.Probe::new),
+                sightings.list().ofMaxSize(5).map(MemberMessage.Report::new),
+                numbers.map(MemberMessage.Superseded::new),
+                numbers.map(MemberMessage.Goodbye::new));
+    }
+
+    private static Arbitrary<Load> loads() {
+        Arbitrary<Integer> counts = Arbitraries.integers().greaterOrEqual(0);
+        return Combinators.combine(counts, counts, Arbitraries.floats().between(0, 1e6f))
+                .as((running, waiting, rate) -> new Load(running, waiting, rate));
+    }
+
+    private static Arbitrary<Host> hosts() {
+        Arbitrary<Address> addresses = Combinators.combine(
+                        Arbitraries.of("10.1.2.3", "127.0.0.1", "[0:0:0:0:0:0:0:1]"),
+                        Arbitraries.integers().between(1, 65_535))
+                .as(Address::new);
+        return Combinators.combine(Arbitraries.of("h1", "h2"), addresses, addresses)
+                .as((name, edge, peer) -> new Host(name, "lima", "lima-a", edge, peer));
+    }
+
+    private static Arbitrary<Digest> digests() {
+        Arbitrary<Long> small = Arbitraries.longs().between(0, 1_000_000);
+        Arbitrary<List<Row>> rows = Combinators.combine(hosts(), small, Arbitraries.of(MemberState.class))
+                .as(Row::new)
+                .list()
+                .ofMaxSize(3);
+        return Combinators.combine(Arbitraries.longs(), small, small, small, loads(), rows)
+                .as((hash, age, lowest, spread, load, changed) ->
+                        new Digest("lima", hash, age, lowest, lowest + spread, load, changed));
+    }
+}
