Add the replay of traces: line format, checks, a naive fleet

A trace is JSON lines: arrivals, loads, failures, releases and stated outcomes. Each promise is a check of its own over what targets, callers and the platform see. The real fleet follows; until then the naive one alone is replayed.

--- /dev/null
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Fleets.java
@@ -0,0 +1,15 @@
+package org.knapweedhatch.cli.replay;
+
+import java.util.List;
+import org.knapweedhatch.cli.replay.trace.Trace;
+
+/** The fleets that every trace is replayed through. */
+final class Fleets {
+
+    private Fleets() {}
+
+    /** Returns what each fleet made of a trace, the one under test first. */
+    static List<Finding> replayAll(Trace trace) {
+        return List.of(Replay.of(trace).run(Naive::new));
+    }
+}
--- a/core/src/main/java/org/knapweedhatch/fault/Step.java
+++ b/core/src/main/java/org/knapweedhatch/fault/Step.java
@@ -25,5 +25,7 @@
     /** A message between two hosts. */
     PEER,
     /** Claiming an idempotency key. */
-    CLAIM
+    CLAIM,
+    /** Reading a recorded trace. */
+    TRACE
 }
