--- a/core/src/main/java/org/knapweedhatch/answer/Reason.java
+++ b/core/src/main/java/org/knapweedhatch/answer/Reason.java
@@ -8,8 +8,10 @@
     KEY_MISSING(401, Outcome.NOT_RUN, "The route needs a key."),
     /** The key has another form than keys have. */
     KEY_MALFORMED(400, Outcome.NOT_RUN, "The key is malformed."),
-    /** The key is not in force: it never was, or was withdrawn. */
-    KEY_REFUSED(403, Outcome.NOT_RUN, "The key is not in force."),
+    /** The key never was in force here. */
+    KEY_UNKNOWN(403, Outcome.NOT_RUN, "The key is not known."),
+    /** The key was in force and has been withdrawn. */
+    KEY_WITHDRAWN(403, Outcome.NOT_RUN, "The key has been withdrawn."),
     /** No route has the path. */
     NO_ROUTE(404, Outcome.NOT_RUN, "No route has this path."),
     /** The request is not well formed or too large. */
--- a/core/src/main/java/org/knapweedhatch/message/HeaderNames.java
+++ b/core/src/main/java/org/knapweedhatch/message/HeaderNames.java
@@ -18,8 +18,8 @@
     /** The team, between hosts only. */
     public static final String TEAM = "Knapweedhatch-Team";
 
-    /** The service, between hosts only. */
-    public static final String SERVICE = "Knapweedhatch-Service";
+    /** The region where the request arose, between hosts only. */
+    public static final String ORIGIN = "Knapweedhatch-Origin";
 
     /** The entry host that relays the request, between hosts only. */
     public static final String RELAYED_BY = "Knapweedhatch-Relayed-By";
