Try the ownership of slots under faults

Cause: two hosts with different rosters must never spend one slot. Before: untested. A process under a roster that names another incarnation of its host owns nothing.

--- a/core/src/main/java/org/knapweedhatch/steer/Slots.java
+++ b/core/src/main/java/org/knapweedhatch/steer/Slots.java
@@ -124,9 +124,14 @@
 
     private void publish(Standing standing) {
         Map<String, String> owners = new HashMap<>();
+        boolean named = standing.names(self, incarnation);
         for (Target target : targets.values()) {
             String region = regions.getOrDefault(target.domain(), "");
-            standing.roster().owner(target, region).ifPresent(owner -> owners.put(target.name(), owner.host()));
+            standing.roster()
+                    .owner(target, region)
+                    .map(Roster.Entry::host)
+                    .filter(owner -> named || !owner.equals(self))
+                    .ifPresent(owner -> owners.put(target.name(), owner));
         }
         publish(standing, Map.copyOf(owners));
     }
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/steer/SlotsTest.java
@@ -0,0 +1,27 @@
+package org.knapweedhatch.steer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class SlotsTest {
+
+    @Property(tries = 1000, seed = "52")
+    void noTargetEverRunsMoreThanItsSlots(@ForAll long seed) {
+        SlotWorld world = new SlotWorld(seed);
+        world.run(Duration.ofSeconds(60), true);
+        assertTrue(world.worst() <= 0, () -> "exceeded by " + world.worst());
+    }
+
+    @Property(tries = 100, seed = "53")
+    void allSlotsAreUsableAgainAfterEveryFault(@ForAll long seed) {
+        SlotWorld world = new SlotWorld(seed);
+        world.run(Duration.ofSeconds(30), true);
+        world.heal();
+        world.run(Duration.ofSeconds(15), false);
+        assertEquals(world.allSlots(), world.usable());
+    }
+}
