--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/answer/FakeTarget.java
@@ -0,0 +1,47 @@
+package org.knapweedhatch.answer;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.knapweedhatch.world.Target;
+
+/** A target that logs what it ran, independent of what any host believes. */
+final class FakeTarget {
+
+    final Target target;
+    final Map<Long, Integer> ran = new HashMap<>();
+    private final Set<Long> running = new HashSet<>();
+    boolean dead;
+    double slowness = 1;
+    int mostRunning;
+    long coldUntil;
+
+    FakeTarget(Target target) {
+        this.target = target;
+    }
+
+    /** Starts a caller's request; returns false where it has no slot and sheds. */
+    boolean start(long callerRequest, long run) {
+        mostRunning = Math.max(mostRunning, running.size() + 1);
+        if (running.size() >= target.slots()) {
+            return false;
+        }
+        running.add(run);
+        ran.merge(callerRequest, 1, Integer::sum);
+        return true;
+    }
+
+    boolean end(long run) {
+        return running.remove(run);
+    }
+
+    void kill() {
+        dead = true;
+        running.clear();
+    }
+
+    int running() {
+        return running.size();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/answer/FakeWorld.java
@@ -0,0 +1,201 @@
+package org.knapweedhatch.answer;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.knapweedhatch.clock.ManualTime;
+import org.knapweedhatch.member.Load;
+import org.knapweedhatch.member.Member;
+import org.knapweedhatch.member.MemberState;
+import org.knapweedhatch.member.View;
+import org.knapweedhatch.steer.ClientTable;
+import org.knapweedhatch.steer.LookUp;
+import org.knapweedhatch.steer.Roster;
+import org.knapweedhatch.world.Host;
+import org.knapweedhatch.world.Target;
+
+/** Callers, hosts and targets joined by a queue ordered by time. */
+final class FakeWorld {
+
+    static final Duration TO_CLIENT = Duration.ofMillis(8);
+
+    final Deployment deployment;
+    final Random random;
+    final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
+    final Map<String, FakeTarget> targets = new TreeMap<>();
+    final Map<String, FakeHost> hosts = new TreeMap<>();
+    final List<Call> calls = new ArrayList<>();
+    final Set<String> cutOff = new HashSet<>();
+    final Duration timeout;
+    Duration serviceTime = Duration.ofMillis(40);
+    double faultRate;
+    Roster roster;
+    private final PriorityQueue<Step> steps =
+            new PriorityQueue<>(Comparator.comparingLong(Step::at).thenComparingLong(Step::order));
+    private final Map<String, Integer> incarnations = new HashMap<>();
+    private long order;
+    private long nextRun;
+
+    private record Step(long at, long order, Runnable action) {}
+
+    FakeWorld(Deployment deployment, Duration timeout, long seed, boolean naive) {
+        this.deployment = deployment;
+        this.timeout = timeout;
+        random = new Random(seed);
+        roster = deployment.roster();
+        for (Target target : deployment.configuration().targets().values()) {
+            targets.put(target.name(), new FakeTarget(target));
+        }
+        for (Host host : deployment.hosts()) {
+            incarnations.put(host.name(), 1);
+            hosts.put(host.name(), naive ? new NaiveHost(host, this) : new RealHost(host, this, 1));
+        }
+        refreshViews();
+    }
+
+    void after(Duration delay, Runnable action) {
+        steps.add(new Step(time.nanos() + delay.toNanos(), order++, action));
+    }
+
+    void at(Duration sinceStart, Runnable action) {
+        steps.add(new Step(sinceStart.toNanos(), order++, action));
+    }
+
+    /** Runs until nothing but ticks is left, or until a time. */
+    void run(Duration until) {
+        long end = until.toNanos();
+        while (!steps.isEmpty() && steps.peek().at() <= end) {
+            Step step = steps.poll();
+            time.advanceTo(step.at());
+            step.action().run();
+        }
+        time.advanceTo(end);
+    }
+
+    void refreshViews() {
+        hosts.values().forEach(host -> host.view(viewOf(host.self().name())));
+    }
+
+    View viewOf(String name) {
+        List<Member> members = deployment.hosts().stream()
+                .map(h -> new Member(h, incarnations.get(h.name()), stateOf(name, h), 1, Load.NONE))
+                .toList();
+        return View.of(name, members);
+    }
+
+    private MemberState stateOf(String viewer, Host host) {
+        boolean seen = !hosts.get(host.name()).dead() && reaches(viewer, host.name());
+        return seen ? MemberState.ALIVE : MemberState.SILENT;
+    }
+
+    /** Returns whether messages pass between two hosts; a domain that is cut off reaches only itself. */
+    boolean reaches(String one, String other) {
+        String oneDomain = hosts.get(one).self().domain();
+        String otherDomain = hosts.get(other).self().domain();
+        return oneDomain.equals(otherDomain) || !cutOff.contains(oneDomain) && !cutOff.contains(otherDomain);
+    }
+
+    /** Kills a host; the others see it a second later, and the roster two seconds after that. */
+    void kill(String host) {
+        hosts.get(host).kill();
+        after(Duration.ofSeconds(1), this::refreshViews);
+        after(Duration.ofSeconds(3), () -> {
+            if (hosts.get(host).dead()) {
+                change(host, incarnations.get(host), false);
+            }
+        });
+    }
+
+    /** Starts a new process at a dead host's name. */
+    void restart(String host) {
+        int incarnation = incarnations.merge(host, 1, Integer::sum);
+        RealHost process = new RealHost(hosts.get(host).self(), this, incarnation);
+        hosts.put(host, process);
+        change(host, incarnation, true);
+        after(Duration.ofSeconds(1), this::refreshViews);
+    }
+
+    void change(String host, long incarnation, boolean active) {
+        Map<String, Roster.Entry> entries = new HashMap<>(roster.entries());
+        Roster.Entry old = entries.get(host);
+        entries.put(host, new Roster.Entry(host, old.region(), old.domain(), incarnation, active));
+        roster = roster.next(entries.values());
+        Roster next = roster;
+        hosts.values().forEach(h -> after(Duration.ofMillis(random.nextInt(500)), () -> h.adopt(next)));
+    }
+
+    /** A caller sends a request to a host that the look-up names, going on to the next where one is dead. */
+    void call(Call call) {
+        calls.add(call);
+        Collection<Host> choices = choices(call);
+        for (Host choice : choices) {
+            FakeHost host = hosts.get(choice.name());
+            if (!host.dead()) {
+                after(TO_CLIENT, () -> arrive(host, call));
+                return;
+            }
+        }
+        end(call, Call.End.NO_HOST, null);
+    }
+
+    private void arrive(FakeHost host, Call call) {
+        if (host.dead()) {
+            end(call, Call.End.BROKEN, null);
+        } else {
+            host.arrive(call);
+        }
+    }
+
+    private Collection<Host> choices(Call call) {
+        FakeHost any = hosts.values().stream()
+                .filter(h -> !h.dead() && h.self().region().equals(call.origin))
+                .findFirst()
+                .or(() -> hosts.values().stream().filter(h -> !h.dead()).findFirst())
+                .orElseThrow();
+        LookUp lookUp = LookUp.of(
+                ClientTable.of(List.of()),
+                deployment.configuration(),
+                viewOf(any.self().name()),
+                (from, to) -> from.equals(to) ? Duration.ZERO : deployment.betweenRegions());
+        List<Host> first = new ArrayList<>();
+        List<Host> rest = new ArrayList<>();
+        lookUp.answer("10.0.0.1", call.team).choices().forEach(c -> (c.rank() == 0 ? first : rest).add(c.host()));
+        Collections.shuffle(first, random);
+        first.addAll(rest);
+        return first;
+    }
+
+    /** The answer or refusal leaves a host towards its caller. */
+    void end(Call call, Call.End outcome, Reason reason) {
+        if (call.outcome == null) {
+            call.outcome = outcome;
+            call.reason = reason;
+            call.end = time.nanos() + TO_CLIENT.toNanos();
+        }
+    }
+
+    long newRun() {
+        return ++nextRun;
+    }
+
+    Duration drawServiceTime(FakeTarget target) {
+        double spread = 0.5 + random.nextDouble();
+        boolean cold = time.nanos() < target.coldUntil;
+        return Duration.ofNanos((long) (serviceTime.toNanos() * spread * target.slowness * (cold ? 3 : 1)));
+    }
+
+    boolean faulty() {
+        return faultRate > 0 && random.nextDouble() < faultRate;
+    }
+}
