--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Fleets.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Fleets.java
@@ -10,6 +10,6 @@
 
     /** Returns what each fleet made of a trace, the one under test first. */
     static List<Finding> replayAll(Trace trace) {
-        return List.of(Replay.of(trace).run(Naive::new));
+        return List.of(Replay.of(trace).run(RealFleet::new), Replay.of(trace).run(Naive::new));
     }
 }
--- /dev/null
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/HostParts.java
@@ -0,0 +1,327 @@
+package org.knapweedhatch.cli.replay;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.knapweedhatch.answer.Answering;
+import org.knapweedhatch.answer.ClaimMessage;
+import org.knapweedhatch.answer.Claims;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.key.KeyRing;
+import org.knapweedhatch.limit.LimitId;
+import org.knapweedhatch.limit.LimitSettings;
+import org.knapweedhatch.limit.Limiter;
+import org.knapweedhatch.limit.Split;
+import org.knapweedhatch.limit.SplitOutcome;
+import org.knapweedhatch.limit.SplitProposal;
+import org.knapweedhatch.member.Member;
+import org.knapweedhatch.member.Membership;
+import org.knapweedhatch.member.View;
+import org.knapweedhatch.message.Outgoing;
+import org.knapweedhatch.message.PeerMessage;
+import org.knapweedhatch.platform.ObjectApi;
+import org.knapweedhatch.platform.Problem;
+import org.knapweedhatch.platform.StoredObject;
+import org.knapweedhatch.release.ConfigurationFollower;
+import org.knapweedhatch.release.FollowerEffect;
+import org.knapweedhatch.release.Names;
+import org.knapweedhatch.release.OfferRequest;
+import org.knapweedhatch.release.PieceAnswer;
+import org.knapweedhatch.release.PieceRequest;
+import org.knapweedhatch.release.ReleaseOffer;
+import org.knapweedhatch.steer.Distances;
+import org.knapweedhatch.steer.LoadReport;
+import org.knapweedhatch.steer.Roster;
+import org.knapweedhatch.steer.RosterAsk;
+import org.knapweedhatch.steer.RosterReply;
+import org.knapweedhatch.steer.SlotTerms;
+import org.knapweedhatch.steer.Slots;
+import org.knapweedhatch.steer.Steering;
+import org.knapweedhatch.timeline.EventSink;
+import org.knapweedhatch.world.Configuration;
+import org.knapweedhatch.world.Host;
+
+/** The parts of one process, wired as the daemon wires them: what one decides is told to the others. */
+final class HostParts {
+
+    private static final String SPLIT = "limit/split";
+    private static final Duration FOLLOWER_TICK = Duration.ofMillis(200);
+    private static final Duration WATCH = Duration.ofMillis(500);
+    private static final Duration ANSWER_TICK = Duration.ofMillis(10);
+    private static final Duration REPORT = Duration.ofMillis(100);
+    private static final Duration START_WAIT = Duration.ofSeconds(1);
+    private static final Duration LONGEST_REQUEST = Duration.ofSeconds(5);
+
+    private final HostProcess process;
+    private final RealFleet fleet;
+    private final TimeSource time;
+    private final EventSink events;
+    private final Membership membership;
+    private final ConfigurationFollower follower;
+    private Configuration configuration = Configuration.empty();
+    private KeyRing keys = KeyRing.empty();
+    private Limiter limiter;
+    private Slots slots;
+    private Steering steering;
+    private Claims claims;
+    private Answering answering;
+    private long splitVersion;
+    private long splitObject;
+    private long rosterNumber;
+
+    HostParts(HostProcess process, RealFleet fleet) {
+        this.process = process;
+        this.fleet = fleet;
+        time = fleet.stage().queue().time();
+        events = fleet.stage().events(process.name());
+        follower = ConfigurationFollower.create(time, START_WAIT, events);
+        List<Host> others = fleet.stage().deployment().hosts().stream()
+                .filter(host -> !host.name().equals(process.name()))
+                .toList();
+        membership = Membership.builder(process.host(), time)
+                .events(events)
+                .configuration(() -> configuration.number())
+                .seeds(others)
+                .seed(process.number())
+                .build();
+    }
+
+    void start() {
+        process.every(Membership.TICK, this::tickMembership);
+        process.every(FOLLOWER_TICK, () -> perform(follower.tick()));
+        process.every(WATCH, this::readHead);
+        readHead();
+    }
+
+    boolean isReady() {
+        return answering != null && configuration.number() > 0 && rosterNumber > 0;
+    }
+
+    Configuration configuration() {
+        return configuration;
+    }
+
+    KeyRing keys() {
+        return keys;
+    }
+
+    Limiter limiter() {
+        return limiter;
+    }
+
+    Answering answering() {
+        return answering;
+    }
+
+    View view() {
+        return membership.view();
+    }
+
+    Distances distances() {
+        return fleet.stage().deployment()::regionDelay;
+    }
+
+    private void tickMembership() {
+        process.send(membership.tick());
+        membership.ahead().map(Member::name).ifPresent(this::askAhead);
+        if (limiter == null && membership.joined()) {
+            join();
+        }
+        if (limiter != null) {
+            limiter.members(view());
+            steering.view(view());
+        }
+    }
+
+    private void askAhead(String host) {
+        long number = view().member(host).map(Member::configuration).orElse(0L);
+        perform(follower.peerNumber(host, Math.max(number, configuration.number() + 1)));
+    }
+
+    /** Creates the parts that need the number of this process, which is settled once it has joined. */
+    private void join() {
+        long incarnation = membership.incarnation();
+        String name = process.name();
+        limiter = Limiter.create(LimitSettings.standard(), process.host(), incarnation, time, events);
+        slots = Slots.of(name, incarnation, process.isFirst(), new SlotTerms(SlotTerms.LEASE, LONGEST_REQUEST), time);
+        steering = Steering.builder(process.host(), slots)
+                .time(time)
+                .distances(distances())
+                .links(this::takeLink)
+                .events(events)
+                .build();
+        claims = Claims.of(name, incarnation, process.isFirst(), time);
+        answering = Answering.of(steering, claims, time);
+        if (configuration.number() > 0) {
+            limiter.configure(configuration);
+            steering.configure(configuration);
+        }
+        process.every(Limiter.TICK, this::tickLimiter);
+        process.every(SlotTerms.LEASE.dividedBy(4), () -> process.send(slots.tick()));
+        process.every(ANSWER_TICK, () -> process.desk().perform(answering.tick()));
+        process.every(REPORT, this::report);
+        process.every(WATCH, this::readSplit);
+        readSplit();
+    }
+
+    /** Takes bytes that leave this region; the other region takes those of its own way. */
+    private boolean takeLink(String from, String to, long bytes) {
+        boolean own = from.equals(process.host().region());
+        return !own
+                || bytes == 0
+                || limiter.admit(LimitId.link(from, to), bytes).isAdmitted();
+    }
+
+    private void report() {
+        LoadReport report = steering.report();
+        List<Outgoing> messages = view().members().values().stream()
+                .filter(member -> member.state().takesWork() && !member.name().equals(process.name()))
+                .map(Member::name)
+                .sorted()
+                .map(name -> new Outgoing(name, report))
+                .toList();
+        process.send(messages);
+    }
+
+    private void tickLimiter() {
+        process.send(limiter.tick());
+        limiter.proposal().ifPresent(this::propose);
+        adoptRoster();
+    }
+
+    private void propose(SplitProposal proposal) {
+        boolean known = proposal.baseVersion() == 0 || proposal.baseVersion() == splitVersion;
+        if (!known) {
+            decided(proposal, SplitOutcome.LOST);
+            return;
+        }
+        byte[] body = proposal.split().text().getBytes(StandardCharsets.UTF_8);
+        long expected = splitObject;
+        this.<StoredObject>call(
+                api -> expected == 0 ? api.create(SPLIT, body) : api.update(SPLIT, body, expected), result -> {
+                    if (result.isOk()) {
+                        readObject(result.orThrow());
+                    }
+                    decided(proposal, outcome(result));
+                });
+    }
+
+    private static SplitOutcome outcome(Result<StoredObject> result) {
+        if (result.isOk()) {
+            return SplitOutcome.WON;
+        }
+        return Problem.UNKNOWN.is(result.fault()) ? SplitOutcome.UNKNOWN : SplitOutcome.LOST;
+    }
+
+    private void decided(SplitProposal proposal, SplitOutcome outcome) {
+        if (limiter.decided(proposal, outcome)) {
+            readSplit();
+        }
+    }
+
+    private void readSplit() {
+        this.<StoredObject>call(api -> api.read(SPLIT), result -> {
+            if (result.isOk()) {
+                readObject(result.orThrow());
+            } else if (Problem.MISSING.is(result.fault())) {
+                limiter.split(Split.absent());
+            }
+        });
+    }
+
+    private void readObject(StoredObject object) {
+        if (object.version() <= splitObject) {
+            return;
+        }
+        Split split = Split.parse(object.text());
+        splitObject = object.version();
+        splitVersion = split.version();
+        limiter.split(split);
+        adoptRoster();
+    }
+
+    /** Gives the hosts of the split to those who divide targets and claims among them. */
+    private void adoptRoster() {
+        Split split = limiter.split();
+        if (split.version() <= rosterNumber) {
+            return;
+        }
+        rosterNumber = split.version();
+        List<Roster.Entry> entries = split.hosts().values().stream()
+                .map(h -> new Roster.Entry(h.name(), h.region(), h.domain(), h.incarnation(), !h.isFenced()))
+                .toList();
+        Roster roster = Roster.of(split.version(), split.version(), entries);
+        slots.adopt(roster);
+        claims.adopt(roster);
+    }
+
+    private void readHead() {
+        this.<StoredObject>call(api -> api.read(Names.HEAD), result -> {
+            if (result.isOk()) {
+                perform(follower.headRead(result.orThrow()));
+            }
+        });
+    }
+
+    private <T> void call(Function<ObjectApi, Result<T>> call, Consumer<Result<T>> outcome) {
+        fleet.platform().call(process.domain(), call, result -> process.run(() -> outcome.accept(result)));
+    }
+
+    private void perform(List<FollowerEffect> effects) {
+        for (FollowerEffect effect : effects) {
+            if (effect instanceof FollowerEffect.Send send) {
+                process.send(List.of(send.outgoing()));
+            } else if (effect instanceof FollowerEffect.ReadPiece read) {
+                this.<StoredObject>call(
+                        api -> api.read(read.object()), result -> perform(follower.pieceRead(read.digest(), result)));
+            } else if (effect instanceof FollowerEffect.InForce inForce) {
+                fleet.decisions()
+                        .inForce(configuration, inForce.configuration())
+                        .forEach(this::configure);
+            }
+        }
+    }
+
+    private void configure(Configuration next) {
+        configuration = next;
+        keys = keys.configure(next);
+        if (limiter != null) {
+            limiter.configure(next);
+            steering.configure(next);
+        }
+        fleet.stage().observer().applied(fleet.stage().now(), process.name(), process.number(), next.number());
+    }
+
+    /** Takes a message of another host in. */
+    void receive(String from, PeerMessage message) {
+        if (message instanceof OfferRequest request) {
+            perform(follower.received(from, request));
+        } else if (message instanceof PieceRequest request) {
+            perform(follower.received(from, request));
+        } else if (message instanceof ReleaseOffer offer) {
+            perform(follower.received(from, offer));
+        } else if (message instanceof PieceAnswer answer) {
+            perform(follower.received(from, answer));
+        } else {
+            process.send(membership.receive(from, message));
+            if (limiter != null) {
+                receiveJoined(from, message);
+            }
+        }
+    }
+
+    private void receiveJoined(String from, PeerMessage message) {
+        if (message instanceof RosterAsk ask) {
+            slots.on(from, ask).ifPresent(reply -> process.send(List.of(new Outgoing(from, reply))));
+        } else if (message instanceof RosterReply reply) {
+            slots.on(from, reply);
+        } else if (message instanceof LoadReport || message instanceof ClaimMessage) {
+            process.desk().perform(answering.on(from, message));
+        } else {
+            process.send(limiter.receive(from, message));
+        }
+    }
+}
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Naive.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Naive.java
@@ -25,6 +25,7 @@
 final class Naive implements FleetModel {
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final long TIMEOUT_NANOS = 5_000_000_000L;
 
     private static final class CentralBucket {
         private double tokens;
@@ -133,11 +134,15 @@
         stage.queue()
                 .after(
                         way,
-                        () -> stage.servers().give(request, team, target.name(), false, ending -> {
-                            long back = stage.network().delay(target.domain(), host.domain());
-                            stage.queue()
-                                    .after(back, () -> stage.answer(request, host.domain(), outcome(request, ending)));
-                        }));
+                        () -> stage.servers()
+                                .give(request, team, target.name(), request.nanos() + TIMEOUT_NANOS, ending -> {
+                                    long back = stage.network().delay(target.domain(), host.domain());
+                                    stage.queue()
+                                            .after(
+                                                    back,
+                                                    () -> stage.answer(
+                                                            request, host.domain(), outcome(request, ending)));
+                                }));
     }
 
     private static Outcome outcome(Request request, Servers.Ending ending) {
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Observers.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Observers.java
@@ -26,8 +26,8 @@
     }
 
     @Override
-    public void started(long nanos, Request request, String team, String target, boolean keySeen) {
-        observers.forEach(o -> o.started(nanos, request, team, target, keySeen));
+    public void started(long nanos, Request request, String team, String target) {
+        observers.forEach(o -> o.started(nanos, request, team, target));
     }
 
     @Override
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Servers.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Servers.java
@@ -33,7 +33,7 @@
         void ended(Ending ending);
     }
 
-    private record Held(Request request, Reply reply, long process) {}
+    private record Held(Request request, long deadlineNanos, Reply reply, long process) {}
 
     private static final class Server {
         private final Target target;
@@ -62,8 +62,8 @@
         configuration.targets().values().forEach(target -> servers.put(target.name(), new Server(target)));
     }
 
-    /** Gives a request to a target now. */
-    void give(Request request, String team, String name, boolean keySeen, Reply reply) {
+    /** Gives a request to a target now; it ends there by its deadline at the latest. */
+    void give(Request request, String team, String name, long deadlineNanos, Reply reply) {
         Server server = servers.get(name);
         if (server.dead) {
             reply.ended(Ending.UNREACHABLE);
@@ -74,8 +74,8 @@
             reply.ended(Ending.SHED);
             return;
         }
-        observer.started(queue.now(), request, team, name, keySeen);
-        server.queued.add(new Held(request, reply, server.process));
+        observer.started(queue.now(), request, team, name);
+        server.queued.add(new Held(request, deadlineNanos, reply, server.process));
         runNext(server);
     }
 
@@ -85,17 +85,19 @@
             long attempt = ++attempts;
             server.running.put(attempt, held);
             double work = held.request().arrival().workMicros() * NANOS_PER_MICRO * server.slowness;
-            queue.after((long) work, () -> end(server, attempt, held));
+            long end = queue.now() + (long) work;
+            Ending ending = end <= held.deadlineNanos() ? Ending.ANSWERED : Ending.LOST;
+            queue.at(Math.min(end, held.deadlineNanos()), () -> end(server, attempt, held, ending));
         }
     }
 
-    private void end(Server server, long attempt, Held held) {
+    private void end(Server server, long attempt, Held held, Ending ending) {
         if (server.process != held.process()) {
             return;
         }
         server.running.remove(attempt);
         observer.finished(queue.now(), held.request(), server.target.name());
-        held.reply().ended(Ending.ANSWERED);
+        held.reply().ended(ending);
         runNext(server);
     }
 
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/check/Observer.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/check/Observer.java
@@ -11,8 +11,8 @@
     /** A host admitted a request for a team. */
     default void admitted(long nanos, String host, Request request, String team) {}
 
-    /** A target began to hold a request, running or queued; {@code keySeen} where the key came with it. */
-    default void started(long nanos, Request request, String team, String target, boolean keySeen) {}
+    /** A target began to hold a request, running or queued. */
+    default void started(long nanos, Request request, String team, String target) {}
 
     /** A target holds a request no longer. */
     default void finished(long nanos, Request request, String target) {}
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/check/Tally.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/check/Tally.java
@@ -100,7 +100,7 @@
     }
 
     @Override
-    public void started(long nanos, Request request, String team, String target, boolean keySeen) {
+    public void started(long nanos, Request request, String team, String target) {
         String region = region(configuration.targets().get(target));
         int now = regionHeld.merge(region, 1, Integer::sum);
         regionPeak.merge(region, (double) now / regionSlots.get(region), Math::max);
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/check/TargetCheck.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/check/TargetCheck.java
@@ -34,7 +34,7 @@
     }
 
     @Override
-    public void started(long nanos, Request request, String team, String name, boolean keySeen) {
+    public void started(long nanos, Request request, String team, String name) {
         int now = held.merge(name, 1, Integer::sum);
         Target target = configuration.targets().get(name);
         if (target == null || now > target.slots()) {
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/trace/Deployment.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/trace/Deployment.java
@@ -6,6 +6,7 @@
 import org.knapweedhatch.helper.Digests;
 import org.knapweedhatch.world.Access;
 import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.ClientBlock;
 import org.knapweedhatch.world.Configuration;
 import org.knapweedhatch.world.Contract;
 import org.knapweedhatch.world.FailureDomain;
@@ -48,7 +49,7 @@
     private static final int LARGE_TEAMS = 3;
     private static final Contract LARGE = new Contract(600, 300);
     private static final Contract SMALL = new Contract(60, 60);
-    private static final double SHIFT_CAP = 0.3;
+    private static final double SHIFT_CAP = 0.5;
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
     private final List<String> regions;
@@ -102,6 +103,20 @@
         return "key-" + team;
     }
 
+    /** Returns an address of callers in a region. */
+    public String callerIp(String region) {
+        return block(region) + ".0.1";
+    }
+
+    private String block(String region) {
+        return "10." + (regions.indexOf(region) + 1);
+    }
+
+    /** Returns one-way time between two regions. */
+    public Duration regionDelay(String from, String to) {
+        return from.equals(to) ? Duration.ZERO : regionDelay;
+    }
+
     /** Returns one-way time between two failure domains. */
     public Duration delay(String from, String to) {
         if (from.equals(to)) {
@@ -135,6 +150,7 @@
         Configuration.Builder builder = Configuration.builder();
         for (String region : regions) {
             builder.region(new Region(region));
+            builder.block(new ClientBlock(block(region) + ".0.0/16", region));
             builder.domain(new FailureDomain(region + "-a", region));
             builder.domain(new FailureDomain(region + "-b", region));
         }
@@ -155,7 +171,7 @@
                 for (int i = 0; i < TARGETS_PER_DOMAIN; i++) {
                     int slots = MIN_SLOTS + number % (maxSlots - MIN_SLOTS + 1);
                     String name = service + "-" + ++number;
-                    Address address = new Address("127.0.2." + number, 9000);
+                    Address address = new Address("127.2." + services.indexOf(service) + "." + number, 9000);
                     builder.target(new Target(name, service, domain, address, slots, CONNECTIONS));
                 }
             }
