Drive membership and limits on sockets and through the platform

Fleet ticks membership and the limiter, routes messages, reads the shared objects by one watch and tries their writes with read-back inside a budget of calls.

Found by its tests on loopback: a process replaced at its name never learned of it, since the answer went to the later process, whose connection stands under the same name; the transport now tells it on its own connection.

--- a/core/src/main/java/org/knapweedhatch/member/Contacts.java
+++ b/core/src/main/java/org/knapweedhatch/member/Contacts.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 import org.knapweedhatch.world.Host;
 
@@ -38,6 +39,10 @@
         named.values().removeIf(contact -> condition.test(contact.host));
     }
 
+    Optional<Host> get(String name) {
+        return Optional.ofNullable(named.get(name)).map(contact -> contact.host);
+    }
+
     /** Returns the hosts whose next introduction is due, and counts it as made. */
     List<Host> due(Predicate<Host> wanted, long nowNanos) {
         List<Host> due = new ArrayList<>();
--- a/core/src/main/java/org/knapweedhatch/member/Membership.java
+++ b/core/src/main/java/org/knapweedhatch/member/Membership.java
@@ -418,33 +418,43 @@
         return peer == null || senderIncarnation >= peer.incarnation;
     }
 
+    /** Returns the place and addresses of a host that was heard or named. */
+    public synchronized Optional<Host> host(String name) {
+        Peer peer = roster.get(name);
+        if (peer != null) {
+            return Optional.of(peer.host);
+        }
+        return contacts.get(name).or(() -> seeds.get(name));
+    }
+
+    /** Returns the message by which this host makes itself known to another one whose name is all it knows. */
+    public synchronized Outgoing introduce(String name) {
+        return new Outgoing(name, self.introduction(true));
+    }
+
     /** Returns whether a host is heard without help of others, so that it can be asked for something. */
     public synchronized boolean reaches(String name) {
         Peer peer = roster.get(name);
         return peer != null && peer.heardDirectly(time.nanos());
     }
 
-    /** Returns a living host with a higher configuration number than this one, from the own region if there is one. */
+    /**
+     * Returns a living host with a higher configuration number than this one, from the own region if there is one. The
+     * number of a host elsewhere is the highest one of its region.
+     */
     public synchronized Optional<Member> ahead() {
         long now = time.nanos();
-        long number = self.configuration();
-        List<Peer> ahead = new ArrayList<>();
-        List<Peer> far = new ArrayList<>();
+        List<Member> near = new ArrayList<>();
+        List<Member> far = new ArrayList<>();
         for (Peer peer : roster.all()) {
             boolean local = roster.local(peer);
-            if (!Row.living(peer.state)) {
-                continue;
-            }
-            if (local && peer.configuration > number) {
-                ahead.add(peer);
-            } else if (!local && regions.highestConfiguration(peer.host.region(), now) > number) {
-                far.add(peer);
+            long number = local ? peer.configuration : regions.highestConfiguration(peer.host.region(), now);
+            if (Row.living(peer.state) && number > self.configuration()) {
+                (local ? near : far).add(new Member(peer.host, peer.incarnation, peer.state, number, peer.load));
             }
         }
-        List<Peer> choice = ahead.isEmpty() ? far : ahead;
-        return choice.isEmpty()
-                ? Optional.empty()
-                : Optional.of(choice.get(random.nextInt(choice.size())).member());
+        List<Member> choice = near.isEmpty() ? far : near;
+        return choice.isEmpty() ? Optional.empty() : Optional.of(choice.get(random.nextInt(choice.size())));
     }
 
     /** Gathers what a membership needs. */
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/BackOff.java
@@ -0,0 +1,38 @@
+package org.knapweedhatch.fleet;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+
+/** Pauses that double with each failure, each drawn between half and the whole of its bound. */
+final class BackOff {
+
+    private static final int MAX_DOUBLINGS = 20;
+
+    private final long firstNanos;
+    private final long maxNanos;
+    private final SplittableRandom random;
+    private int failures;
+
+    BackOff(Duration first, Duration max, long seed) {
+        firstNanos = first.toNanos();
+        maxNanos = max.toNanos();
+        random = new SplittableRandom(seed);
+    }
+
+    /** Notes a failure and returns the pause after it. */
+    synchronized Duration failed() {
+        long doubled = firstNanos << Math.min(failures, MAX_DOUBLINGS);
+        failures++;
+        long bound = doubled <= 0 ? maxNanos : Math.min(doubled, maxNanos);
+        return Duration.ofNanos(random.nextLong(bound / 2, bound + 1));
+    }
+
+    /** Notes a success: the next pause is short again. */
+    synchronized void succeeded() {
+        failures = 0;
+    }
+
+    synchronized boolean failing() {
+        return failures > 0;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/Fleet.java
@@ -0,0 +1,434 @@
+package org.knapweedhatch.fleet;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.helper.Validate;
+import org.knapweedhatch.limit.Confirm;
+import org.knapweedhatch.limit.LimitSettings;
+import org.knapweedhatch.limit.Limiter;
+import org.knapweedhatch.limit.LoanGrant;
+import org.knapweedhatch.limit.LoanRequest;
+import org.knapweedhatch.limit.SplitNews;
+import org.knapweedhatch.member.Load;
+import org.knapweedhatch.member.MemberMessage;
+import org.knapweedhatch.member.Membership;
+import org.knapweedhatch.member.View;
+import org.knapweedhatch.message.Outgoing;
+import org.knapweedhatch.message.PeerMessage;
+import org.knapweedhatch.peer.LinkRule;
+import org.knapweedhatch.peer.PeerCodecs;
+import org.knapweedhatch.peer.PeerReceiver;
+import org.knapweedhatch.peer.PeerTransport;
+import org.knapweedhatch.platform.ListedHost;
+import org.knapweedhatch.platform.ObjectApi;
+import org.knapweedhatch.timeline.EventSink;
+import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.Configuration;
+import org.knapweedhatch.world.Host;
+
+/**
+ * One host's part in the fleet: drives membership and the shared limits, and carries their messages and objects.
+ *
+ * <p>The limits exist from the moment on at which other hosts have accepted this process; see {@link #limiter()}.
+ *
+ * <pre>{@code
+ * Fleet fleet = Fleet.builder(host, secret, platform, time)
+ *         .events(timeline)
+ *         .seeds(settings.peers())
+ *         .receiver(feed::receive)
+ *         .start();
+ * fleet.configure(configuration);
+ * fleet.leave();
+ * fleet.stop();
+ * }</pre>
+ */
+public final class Fleet {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final long TICK_MS = Limiter.TICK.toMillis();
+    private static final int MEMBER_TICKS = (int) (Membership.TICK.toMillis() / TICK_MS);
+    private static final int AHEAD_TICKS = (int) (500 / TICK_MS);
+    private static final int SEED_TICKS = (int) (2_000 / TICK_MS);
+
+    private final Host self;
+    private final TimeSource time;
+    private final EventSink events;
+    private final LimitSettings limitSettings;
+    private final List<Address> seeds;
+    private final PeerReceiver receiver;
+    private final Consumer<View> viewed;
+    private final Consumer<List<ListedHost>> listed;
+    private final BiConsumer<String, Long> ahead;
+    private final LongConsumer joined;
+    private final Runnable superseded;
+    private final Membership membership;
+    private final PeerTransport transport;
+    private final PlatformLoop platform;
+    private final LongAdder fenced = new LongAdder();
+    private final ScheduledExecutorService ticker;
+    private final List<Runnable> tasks = new CopyOnWriteArrayList<>();
+    private volatile Configuration configuration = Configuration.empty();
+    private volatile Limiter limiter;
+    private volatile boolean leaving;
+    private View lastView;
+    private boolean toldSuperseded;
+    private long ticks;
+
+    private Fleet(Builder b) {
+        self = b.self;
+        time = b.time;
+        events = b.events;
+        limitSettings = b.limitSettings;
+        seeds = b.seeds;
+        receiver = b.receiver;
+        viewed = b.viewed;
+        listed = b.listed;
+        ahead = b.ahead;
+        joined = b.joined;
+        superseded = b.superseded;
+        membership = Membership.builder(self, time)
+                .events(events)
+                .configuration(() -> configuration.number())
+                .load(b.load)
+                .build();
+        platform = new PlatformLoop(b.platform, time, events, self.name(), this::alone, this::list);
+        ticker = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "fleet-tick-" + self.name());
+            thread.setDaemon(true);
+            return thread;
+        });
+        transport = PeerTransport.builder(self, b.secret)
+                .codecs(PeerCodecs.all())
+                .addresses(name -> membership.host(name).map(Host::peer))
+                .incarnation(membership::incarnation)
+                .hybridTime(b.hybridTime, b.hybridTimeSeen)
+                .receiver(this::receive)
+                .outdated(membership::outbid)
+                .rule(b.rule)
+                .start();
+    }
+
+    /** Returns a builder for the part of a host. */
+    public static Builder builder(Host self, String secret, ObjectApi platform, TimeSource time) {
+        return new Builder(self, secret, platform, time);
+    }
+
+    private void run() {
+        platform.start();
+        ticker.scheduleWithFixedDelay(this::tickSafely, 0, TICK_MS, TimeUnit.MILLISECONDS);
+        LOG.atInfo().log("fleet: %s started as %d", self.name(), membership.incarnation());
+    }
+
+    private boolean alone() {
+        return membership.view().members().size() < 2;
+    }
+
+    private void list(List<ListedHost> hosts) {
+        membership.hints(hosts);
+        listed.accept(hosts);
+    }
+
+    private void tickSafely() {
+        try {
+            tick();
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("fleet: a tick failed");
+        }
+    }
+
+    private void tick() {
+        if (ticks % MEMBER_TICKS == 0) {
+            send(membership.tick());
+            passView();
+        }
+        if (ticks % SEED_TICKS == 0) {
+            exploreSeeds();
+        }
+        if (ticks % AHEAD_TICKS == 0) {
+            membership.ahead().ifPresent(member -> ahead.accept(member.name(), member.configuration()));
+        }
+        Limiter limits = limiter;
+        if (limits != null) {
+            send(limits.tick());
+        } else if (membership.joined()) {
+            join();
+        }
+        tasks.forEach(Runnable::run);
+        ticks++;
+    }
+
+    private void passView() {
+        View view = membership.view();
+        if (view == lastView) {
+            return;
+        }
+        lastView = view;
+        Limiter limits = limiter;
+        if (limits != null) {
+            limits.members(view);
+        }
+        viewed.accept(view);
+        if (membership.superseded() && !toldSuperseded) {
+            toldSuperseded = true;
+            LOG.atWarning().log("fleet: a later process runs at the name %s", self.name());
+            superseded.run();
+        }
+    }
+
+    private void exploreSeeds() {
+        if (!alone()) {
+            return;
+        }
+        for (Address seed : seeds) {
+            if (!seed.equals(self.peer())) {
+                transport.explore(seed, name -> transport.send(membership.introduce(name)));
+            }
+        }
+    }
+
+    private void join() {
+        Limiter limits = Limiter.create(limitSettings, self, membership.incarnation(), time, events);
+        limits.configure(configuration);
+        limits.members(membership.view());
+        if (leaving) {
+            limits.leave();
+        }
+        limiter = limits;
+        platform.add(new SplitObject(limits));
+        joined.accept(membership.incarnation());
+        LOG.atInfo().log("fleet: %s joined as %d", self.name(), membership.incarnation());
+    }
+
+    private void receive(String from, long incarnation, PeerMessage message) {
+        if (message instanceof MemberMessage) {
+            send(membership.receive(from, message));
+            return;
+        }
+        if (!membership.accepts(from, incarnation) || membership.superseded()) {
+            fenced.increment();
+            return;
+        }
+        Limiter limits = limiter;
+        if (isLimit(message)) {
+            if (limits != null) {
+                send(limits.receive(from, message));
+            }
+        } else {
+            receiver.receive(from, incarnation, message);
+        }
+    }
+
+    private static boolean isLimit(PeerMessage message) {
+        return message instanceof Confirm
+                || message instanceof LoanRequest
+                || message instanceof LoanGrant
+                || message instanceof SplitNews;
+    }
+
+    private void send(List<Outgoing> messages) {
+        messages.forEach(transport::send);
+    }
+
+    /** Sends a message of another part to a host. */
+    public void send(Outgoing message) {
+        transport.send(message);
+    }
+
+    /** Runs a task of another part at every tick, on the fleet's thread; it must not block. */
+    public void eachTick(Runnable task) {
+        tasks.add(Validate.notNull(task, "task"));
+    }
+
+    /** Reads another shared object and tries its writes from now on. */
+    public void share(SharedObject object) {
+        platform.add(Validate.notNull(object, "object"));
+    }
+
+    /** Puts a configuration in force for the limits, and tells other hosts its number. */
+    public void configure(Configuration next) {
+        configuration = next;
+        Limiter limits = limiter;
+        if (limits != null) {
+            limits.configure(next);
+        }
+    }
+
+    /** Returns the shared limits; empty until other hosts have accepted this process. */
+    public Optional<Limiter> limiter() {
+        return Optional.ofNullable(limiter);
+    }
+
+    /** Returns the membership of this host. */
+    public Membership membership() {
+        return membership;
+    }
+
+    /** Returns the members as this host sees them. */
+    public View view() {
+        return membership.view();
+    }
+
+    /** Returns whether the platform answered lately. */
+    public boolean platformReachable() {
+        return platform.reachable();
+    }
+
+    /** Returns what is counted, by name. */
+    public Map<String, LongSupplier> counters() {
+        Map<String, LongSupplier> counters = new HashMap<>(platform.counters());
+        counters.put("messages.fenced", fenced::sum);
+        transport
+                .counters()
+                .read()
+                .keySet()
+                .forEach(name ->
+                        counters.put(name, () -> transport.counters().read().get(name)));
+        return counters;
+    }
+
+    /** Begins to leave: other hosts give this one no new work, and its shares go to them. */
+    public void leave() {
+        leaving = true;
+        membership.leave();
+        Limiter limits = limiter;
+        if (limits != null) {
+            limits.leave();
+        }
+    }
+
+    /** Returns whether everything has been handed over. */
+    public boolean hasLeft() {
+        Limiter limits = limiter;
+        return leaving && (limits == null || limits.hasLeft());
+    }
+
+    /** Says goodbye, then stops all threads and closes all connections. */
+    public void stop() {
+        ticker.shutdownNow();
+        send(membership.goodbye());
+        platform.stop();
+        transport.stop();
+    }
+
+    /** Gathers what a host's part in the fleet needs. */
+    public static final class Builder {
+        private final Host self;
+        private final String secret;
+        private final ObjectApi platform;
+        private final TimeSource time;
+        private EventSink events = EventSink.none();
+        private Supplier<Load> load = () -> Load.NONE;
+        private LimitSettings limitSettings = LimitSettings.standard();
+        private List<Address> seeds = List.of();
+        private PeerReceiver receiver = (from, incarnation, message) -> {};
+        private Consumer<View> viewed = view -> {};
+        private Consumer<List<ListedHost>> listed = hosts -> {};
+        private BiConsumer<String, Long> ahead = (host, number) -> {};
+        private LongConsumer joined = incarnation -> {};
+        private Runnable superseded = () -> {};
+        private LongSupplier hybridTime = () -> 0;
+        private LongConsumer hybridTimeSeen = stamp -> {};
+        private LinkRule rule = LinkRule.open();
+
+        private Builder(Host self, String secret, ObjectApi platform, TimeSource time) {
+            this.self = Validate.notNull(self, "self");
+            this.secret = Validate.notEmpty(secret, "secret");
+            this.platform = Validate.notNull(platform, "platform");
+            this.time = Validate.notNull(time, "time");
+        }
+
+        /** Sets where events are recorded. */
+        public Builder events(EventSink sink) {
+            events = Validate.notNull(sink, "events");
+            return this;
+        }
+
+        /** Sets where this host's load comes from. */
+        public Builder load(Supplier<Load> supplier) {
+            load = Validate.notNull(supplier, "load");
+            return this;
+        }
+
+        /** Sets the times of the shared limits. */
+        public Builder limits(LimitSettings settings) {
+            limitSettings = Validate.notNull(settings, "settings");
+            return this;
+        }
+
+        /** Sets peer addresses that are tried while no other host is known. */
+        public Builder seeds(List<Address> addresses) {
+            seeds = List.copyOf(addresses);
+            return this;
+        }
+
+        /** Sets who takes in the messages of other parts; it must not block. */
+        public Builder receiver(PeerReceiver sink) {
+            receiver = Validate.notNull(sink, "receiver");
+            return this;
+        }
+
+        /** Sets who learns of each new view. */
+        public Builder viewed(Consumer<View> sink) {
+            viewed = Validate.notNull(sink, "viewed");
+            return this;
+        }
+
+        /** Sets who learns of each reading of the platform's host list. */
+        public Builder listed(Consumer<List<ListedHost>> sink) {
+            listed = Validate.notNull(sink, "listed");
+            return this;
+        }
+
+        /** Sets who learns, twice a second, of a host with a higher configuration number, and that number. */
+        public Builder ahead(BiConsumer<String, Long> sink) {
+            ahead = Validate.notNull(sink, "ahead");
+            return this;
+        }
+
+        /** Sets who learns, once, that this process was accepted, and its incarnation. */
+        public Builder joined(LongConsumer sink) {
+            joined = Validate.notNull(sink, "joined");
+            return this;
+        }
+
+        /** Sets what is done where a later process runs at this host's name: this one must stop. */
+        public Builder superseded(Runnable action) {
+            superseded = Validate.notNull(action, "superseded");
+            return this;
+        }
+
+        /** Sets the hybrid logical clock that stamps messages, and that learns from the stamps received. */
+        public Builder hybridTime(LongSupplier stamp, LongConsumer seen) {
+            hybridTime = Validate.notNull(stamp, "stamp");
+            hybridTimeSeen = Validate.notNull(seen, "seen");
+            return this;
+        }
+
+        /** Sets a rule by which messages to other hosts are cut or held back. */
+        public Builder rule(LinkRule links) {
+            rule = Validate.notNull(links, "rule");
+            return this;
+        }
+
+        /** Starts; throws where the host's peer address cannot be bound. */
+        public Fleet start() {
+            Fleet fleet = new Fleet(this);
+            fleet.run();
+            return fleet;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/ObjectSync.java
@@ -0,0 +1,84 @@
+package org.knapweedhatch.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.knapweedhatch.fault.Fault;
+import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.platform.ObjectApi;
+import org.knapweedhatch.platform.Problem;
+import org.knapweedhatch.platform.StoredObject;
+
+/** Reads the shared objects and tries their writes; each method makes at most three calls and may wait for them. */
+final class ObjectSync {
+
+    private final ObjectApi api;
+    private final Map<String, SharedObject> objects = new ConcurrentHashMap<>();
+    private long version;
+
+    ObjectSync(ObjectApi api) {
+        this.api = api;
+    }
+
+    void add(SharedObject object) {
+        objects.put(object.name(), object);
+    }
+
+    Iterable<SharedObject> objects() {
+        return objects.values();
+    }
+
+    /** Reads one object as it stands now. */
+    Result<StoredObject> read(SharedObject object) {
+        Result<StoredObject> read = api.read(object.name());
+        if (read.isOk()) {
+            object.read(read.orThrow());
+        } else if (Problem.MISSING.is(read.fault())) {
+            object.absent();
+        }
+        return read;
+    }
+
+    /** Waits for changes and passes them on; fails with the platform's fault. */
+    Result<Integer> watch(Duration wait) {
+        Result<List<StoredObject>> changed = api.watch(SharedObject.PREFIX, version, wait);
+        if (!changed.isOk()) {
+            return Result.failed(changed.fault());
+        }
+        for (StoredObject stored : changed.orThrow()) {
+            version = Math.max(version, stored.version());
+            Optional.ofNullable(objects.get(stored.name())).ifPresent(object -> object.read(stored));
+        }
+        return Result.ok(changed.orThrow().size());
+    }
+
+    /** Tries a write and reads the object back where it did not plainly win; returns how it ended. */
+    SharedObject.Outcome attempt(SharedObject object, SharedObject.Write write) {
+        if (write.expectedVersion() == SharedObject.Write.UNREAD) {
+            read(object);
+            object.ended(SharedObject.Outcome.REFUSED);
+            return SharedObject.Outcome.REFUSED;
+        }
+        Result<StoredObject> written = write.expectedVersion() == 0
+                ? api.create(object.name(), write.body())
+                : api.update(object.name(), write.body(), write.expectedVersion());
+        SharedObject.Outcome outcome = outcome(written);
+        if (written.isOk()) {
+            object.read(written.orThrow());
+        } else {
+            read(object);
+        }
+        object.ended(outcome);
+        return outcome;
+    }
+
+    private static SharedObject.Outcome outcome(Result<StoredObject> written) {
+        if (written.isOk()) {
+            return SharedObject.Outcome.WON;
+        }
+        Fault fault = written.fault();
+        return Problem.UNKNOWN.is(fault) ? SharedObject.Outcome.UNKNOWN : SharedObject.Outcome.REFUSED;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/SplitObject.java
@@ -0,0 +1,95 @@
+package org.knapweedhatch.fleet;
+
+import com.google.common.flogger.FluentLogger;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.knapweedhatch.limit.Limiter;
+import org.knapweedhatch.limit.Split;
+import org.knapweedhatch.limit.SplitOutcome;
+import org.knapweedhatch.limit.SplitProposal;
+import org.knapweedhatch.platform.StoredObject;
+
+/** The split of all limits between the hosts, as the platform holds it. */
+final class SplitObject implements SharedObject {
+
+    static final String NAME = PREFIX + "split";
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final Limiter limiter;
+    private long objectVersion;
+    private Split stored = Split.absent();
+    private boolean known;
+    private SplitProposal tried;
+    private String unclear = "";
+
+    SplitObject(Limiter limiter) {
+        this.limiter = limiter;
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public synchronized void read(StoredObject object) {
+        Split split;
+        try {
+            split = Split.parse(object.text());
+        } catch (IllegalArgumentException e) {
+            LOG.atWarning().log("fleet: the platform's split is malformed: %s", e.getMessage());
+            return;
+        }
+        if (object.version() >= objectVersion) {
+            objectVersion = object.version();
+            stored = split;
+            known = true;
+        }
+        limiter.split(split);
+    }
+
+    @Override
+    public synchronized void absent() {
+        known = true;
+        limiter.split(Split.absent());
+    }
+
+    @Override
+    public synchronized Optional<Write> write() {
+        Optional<SplitProposal> proposal = limiter.proposal();
+        if (proposal.isEmpty()) {
+            return Optional.empty();
+        }
+        tried = proposal.get();
+        byte[] body = tried.split().text().getBytes(StandardCharsets.UTF_8);
+        return Optional.of(new Write(expectedVersion(), body));
+    }
+
+    private long expectedVersion() {
+        if (tried.baseVersion() == 0) {
+            return 0;
+        }
+        return known && stored.version() == tried.baseVersion() ? objectVersion : Write.UNREAD;
+    }
+
+    @Override
+    public synchronized void ended(Outcome outcome) {
+        SplitOutcome decided = decide(outcome);
+        unclear = decided == SplitOutcome.UNKNOWN ? tried.split().text() : "";
+        limiter.decided(tried, decided);
+    }
+
+    /** An attempt that was refused settles nothing while an earlier attempt at the same write may be on its way. */
+    private SplitOutcome decide(Outcome outcome) {
+        String text = tried.split().text();
+        if (outcome == Outcome.WON || stored.text().equals(text)) {
+            return SplitOutcome.WON;
+        }
+        if (stored.version() > tried.baseVersion()) {
+            return SplitOutcome.LOST;
+        }
+        boolean settled = outcome == Outcome.REFUSED && !unclear.equals(text);
+        return settled ? SplitOutcome.LOST : SplitOutcome.UNKNOWN;
+    }
+}
--- a/daemon/src/main/java/org/knapweedhatch/peer/MemberCodec.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/MemberCodec.java
@@ -196,8 +196,10 @@
     }
 
     private static Row row(RowRecord record, String region) {
-        Validate.isTrue(record.getState() >= 0 && record.getState() < STATES.length, "state out of range");
-        return new Row(Records.host(record.getHost(), region), record.getIncarnation(), STATES[record.getState()]);
+        return new Row(
+                Records.host(record.getHost(), region),
+                record.getIncarnation(),
+                Records.oneOf(STATES, record.getState()));
     }
 
     private static ReportRecord report(MemberMessage.Report message) {
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerChannel.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerChannel.java
@@ -12,9 +12,11 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import java.security.SecureRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.knapweedhatch.peer.proto.Envelope;
 import org.knapweedhatch.peer.proto.HelloRecord;
 import org.knapweedhatch.peer.proto.ProofRecord;
+import org.knapweedhatch.peer.proto.SupersededRecord;
 
 /** One connection: greets, proves both ends, then passes envelopes on. */
 final class PeerChannel extends SimpleChannelInboundHandler<Envelope> {
@@ -30,7 +32,9 @@
     }
 
     private final PeerTransport transport;
+    private final boolean dialled;
     private final PeerLink dialledLink;
+    private final Consumer<String> proved;
     private final HelloRecord ownHello;
     private HelloRecord peerHello;
     private PeerLink link;
@@ -39,9 +43,11 @@
     private boolean pinged;
     private long usedNanos = System.nanoTime();
 
-    private PeerChannel(PeerTransport transport, PeerLink dialledLink) {
+    private PeerChannel(PeerTransport transport, boolean dialled, PeerLink dialledLink, Consumer<String> proved) {
         this.transport = transport;
+        this.dialled = dialled;
         this.dialledLink = dialledLink;
+        this.proved = proved;
         byte[] nonce = new byte[Handshake.NONCE_BYTES];
         RANDOM.nextBytes(nonce);
         ownHello = HelloRecord.newBuilder()
@@ -52,15 +58,20 @@
     }
 
     static PeerChannel dialled(PeerTransport transport, PeerLink link) {
-        return new PeerChannel(transport, link);
+        return new PeerChannel(transport, true, link, name -> {});
+    }
+
+    /** Returns a connection to whoever listens at an address; {@code proved} learns the name. */
+    static PeerChannel exploring(PeerTransport transport, Consumer<String> proved) {
+        return new PeerChannel(transport, true, null, proved);
     }
 
     static PeerChannel accepted(PeerTransport transport) {
-        return new PeerChannel(transport, null);
+        return new PeerChannel(transport, false, null, name -> {});
     }
 
     boolean dialled() {
-        return dialledLink != null;
+        return dialled;
     }
 
     long peerIncarnation() {
@@ -129,7 +140,7 @@
             return;
         }
         peerHello = HelloRecord.parseFrom(envelope.getBody());
-        boolean expected = !dialled() || peerHello.getFrom().equals(dialledLink.peer());
+        boolean expected = dialledLink == null || peerHello.getFrom().equals(dialledLink.peer());
         if (!Handshake.wellFormed(peerHello) || !expected || peerHello.getFrom().equals(transport.self())) {
             reject("a greeting that was not expected");
             return;
@@ -169,13 +180,15 @@
     private void open() {
         phase = Phase.OPEN;
         context.pipeline().replace(LengthFieldBasedFrameDecoder.class, "frames", Pipelines.frames(Limits.FRAME));
-        PeerLink proved = transport.link(peerHello.getFrom());
+        PeerLink ownLink = transport.link(peerHello.getFrom());
         transport.counters().connections.increment();
-        if (proved.attach(this)) {
-            link = proved;
+        if (ownLink.attach(this)) {
+            link = ownLink;
         } else {
+            tellOutdated(ownLink.newest());
             retire();
         }
+        proved.accept(peerHello.getFrom());
     }
 
     private void receiveOpen(Envelope envelope) throws InvalidProtocolBufferException {
@@ -232,7 +245,7 @@
         phase = Phase.CLOSED;
         if (link != null) {
             link.detach(this);
-        } else if (dialled()) {
+        } else if (dialledLink != null) {
             dialledLink.dialFailed();
         }
     }
@@ -247,6 +260,15 @@
         close();
     }
 
+    /** Tells the peer that a later process at its name is connected, where it is one. */
+    void tellOutdated(long newest) {
+        if (newest > peerIncarnation()) {
+            SupersededRecord record =
+                    SupersededRecord.newBuilder().setIncarnation(newest).build();
+            context.executor().execute(() -> control(WireKind.OUTDATED, record));
+        }
+    }
+
     /** Closes the connection when what the peer has sent on it has arrived. */
     void retire() {
         context.executor().schedule(this::close, Limits.RETIRE.toMillis(), TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerCodecs.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerCodecs.java
@@ -30,6 +30,11 @@
         return all;
     }
 
+    /** Returns the codecs of every package. */
+    public static PeerCodecs all() {
+        return of(new MemberCodec(), new LimitCodec(), new ConfigurationCodec(), new SteerCodec(), new ClaimCodec());
+    }
+
     private void add(MessageKind<?> kind) {
         Validate.isTrue(kind.number() > RESERVED, "kind %d is reserved", kind.number());
         Validate.isTrue(byNumber.put(kind.number(), kind) == null, "kind %d is taken", kind.number());
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerLink.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerLink.java
@@ -82,6 +82,9 @@
         counters.dropped.add(queue.expire(System.nanoTime()));
         long pause;
         synchronized (this) {
+            if (closed) {
+                return;
+            }
             dialling = false;
             failures++;
             pause = backOffNanos(failures);
@@ -103,9 +106,7 @@
     boolean attach(PeerChannel channel) {
         PeerChannel old;
         synchronized (this) {
-            if (channel.dialled()) {
-                dialling = false;
-            }
+            dialling &= !channel.dialled();
             if (closed || (active != null && !preferred(channel, active))) {
                 return false;
             }
@@ -114,12 +115,18 @@
             failures = 0;
         }
         if (old != null) {
+            old.tellOutdated(channel.peerIncarnation());
             old.retire();
         }
         flush(channel);
         return true;
     }
 
+    /** Returns the incarnation of the process that is connected; 0 where none is. */
+    synchronized long newest() {
+        return active == null ? 0 : active.peerIncarnation();
+    }
+
     /** Both ends keep the connection of the later process, else the one that the host with the lower name dialled. */
     private boolean preferred(PeerChannel fresh, PeerChannel old) {
         if (fresh.peerIncarnation() != old.peerIncarnation()) {
@@ -162,15 +169,15 @@
         });
     }
 
-    /** Ends the connection and makes no other. */
+    /** Sends what waits, ends the connection and makes no other. */
     void close() {
         PeerChannel old;
         synchronized (this) {
             closed = true;
             old = active;
-            active = null;
         }
         if (old != null) {
+            flush(old);
             old.close();
         }
     }
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
@@ -24,9 +24,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.knapweedhatch.fault.Result;
 import org.knapweedhatch.fault.Step;
 import org.knapweedhatch.helper.Validate;
@@ -35,6 +37,7 @@
 import org.knapweedhatch.peer.proto.Envelope;
 import org.knapweedhatch.peer.proto.FetchRecord;
 import org.knapweedhatch.peer.proto.FetchedRecord;
+import org.knapweedhatch.peer.proto.SupersededRecord;
 import org.knapweedhatch.world.Address;
 import org.knapweedhatch.world.Host;
 
@@ -67,6 +70,7 @@
     private final LongSupplier hybridTime;
     private final LongConsumer hybridTimeSeen;
     private final PeerReceiver receiver;
+    private final LongConsumer outdated;
     private final Function<String, Optional<byte[]>> store;
     private final LinkRule rule;
     private final PeerCounters counters = new PeerCounters();
@@ -84,6 +88,7 @@
         hybridTime = b.hybridTime;
         hybridTimeSeen = b.hybridTimeSeen;
         receiver = b.receiver;
+        outdated = b.outdated;
         store = b.store;
         rule = b.rule;
         loops = new MultiThreadIoEventLoopGroup(
@@ -147,6 +152,8 @@
         switch (envelope.getKind()) {
             case WireKind.FETCH -> serve(from, FetchRecord.parseFrom(envelope.getBody()));
             case WireKind.FETCHED -> fetched(from, FetchedRecord.parseFrom(envelope.getBody()));
+            case WireKind.OUTDATED ->
+                outdated.accept(SupersededRecord.parseFrom(envelope.getBody()).getIncarnation());
             default -> {
                 return receiveMessage(from, senderIncarnation, envelope);
             }
@@ -192,23 +199,29 @@
 
     private boolean dial(PeerLink link) {
         Optional<Address> address = addresses.apply(link.peer());
-        if (address.isEmpty()) {
-            return false;
-        }
+        address.ifPresent(a -> connect(a, () -> PeerChannel.dialled(this, link), link::dialFailed));
+        return address.isPresent();
+    }
+
+    /** Connects to whoever listens at an address; {@code proved} learns its name once it has proved itself. */
+    public void explore(Address address, Consumer<String> proved) {
+        connect(address, () -> PeerChannel.exploring(this, proved), () -> {});
+    }
+
+    private void connect(Address address, Supplier<PeerChannel> handler, Runnable failed) {
         Bootstrap bootstrap = new Bootstrap()
                 .group(loops)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Limits.CONNECT_TIMEOUT.toMillis())
-                .handler(Pipelines.of(() -> PeerChannel.dialled(this, link)));
-        bootstrap.connect(address.get().socket()).addListener((ChannelFuture connected) -> {
+                .handler(Pipelines.of(handler));
+        bootstrap.connect(address.socket()).addListener((ChannelFuture connected) -> {
             if (connected.isSuccess()) {
                 channels.add(connected.channel());
             } else {
-                link.dialFailed();
+                failed.run();
             }
         });
-        return true;
     }
 
     /** Returns the counts since the start. */
@@ -258,6 +271,7 @@
         private LongSupplier hybridTime = () -> 0;
         private LongConsumer hybridTimeSeen = time -> {};
         private PeerReceiver receiver = (from, number, message) -> {};
+        private LongConsumer outdated = number -> {};
         private Function<String, Optional<byte[]>> store = name -> Optional.empty();
         private LinkRule rule = LinkRule.open();
 
@@ -298,6 +312,12 @@
             return this;
         }
 
+        /** Sets who learns the incarnation of a later process that a peer is connected to at this host's name. */
+        public Builder outdated(LongConsumer sink) {
+            outdated = Validate.notNull(sink, "outdated");
+            return this;
+        }
+
         /** Sets where the bytes that peers fetch come from; it must not block. */
         public Builder store(Function<String, Optional<byte[]>> byName) {
             store = Validate.notNull(byName, "store");
--- a/daemon/src/main/java/org/knapweedhatch/peer/Records.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/Records.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
+import org.knapweedhatch.helper.Validate;
 import org.knapweedhatch.peer.proto.AddressRecord;
 import org.knapweedhatch.peer.proto.HostRecord;
 import org.knapweedhatch.world.Address;
@@ -15,6 +16,12 @@
 
     private Records() {}
 
+    /** Returns the value of an enumeration at a position, or throws {@link IllegalArgumentException}. */
+    static <E> E oneOf(E[] values, int position) {
+        Validate.isTrue(position >= 0 && position < values.length, "no value at position %d", position);
+        return values[position];
+    }
+
     /** Returns the record of a host. */
     public static HostRecord host(Host host) {
         return HostRecord.newBuilder()
--- a/daemon/src/main/java/org/knapweedhatch/peer/WireKind.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/WireKind.java
@@ -10,5 +10,8 @@
     static final int FETCH = 5;
     static final int FETCHED = 6;
 
+    /** Tells a process that a later one at its name is connected. */
+    static final int OUTDATED = 7;
+
     private WireKind() {}
 }
