--- a/core/src/main/java/org/knapweedhatch/limit/Borrower.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Borrower.java
@@ -17,8 +17,9 @@
 
     private static final long HORIZON_NANOS = Duration.ofMillis(700).toNanos();
     private static final long ANSWER_TIMEOUT_NANOS = Duration.ofMillis(250).toNanos();
-    private static final long BACK_OFF_NANOS = Duration.ofMillis(150).toNanos();
-    private static final long HINT_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final long BACK_OFF_NANOS = Duration.ofMillis(50).toNanos();
+    private static final long LONGEST_BACK_OFF_NANOS = Duration.ofMillis(400).toNanos();
+    private static final long HINT_NANOS = Duration.ofMillis(300).toNanos();
     private static final double POOR_ROUND = 0.1;
     private static final double SMALLEST_REQUEST = 1e-4;
     private static final int FAN_OUT = 8;
@@ -36,10 +37,13 @@
     private final Map<Long, Sent> sent = new HashMap<>();
     private final Set<Long> awaited = new HashSet<>();
     private final Map<String, Hint> hints = new HashMap<>();
+    private final Map<String, Double> ownedShares = new HashMap<>();
+    private long ownedVersion = -1;
     private long roundAt;
     private double roundAsked;
     private double roundGot;
     private long retryAt = Long.MIN_VALUE;
+    private long backOff = BACK_OFF_NANOS;
     private long lastId;
 
     Borrower(LimitId limit, Bucket bucket, LimitSettings settings, long incarnation, LongSupplier clock) {
@@ -117,10 +121,7 @@
     private Map<String, Double> expectations(
             Shortage shortage, Split split, String self, long now, Predicate<String> reachable) {
         hints.values().removeIf(hint -> now - hint.at() > HINT_NANOS);
-        Map<String, Double> spares = new HashMap<>();
-        for (String owner : split.ownersOf(limit)) {
-            spares.put(owner, split.share(limit, owner));
-        }
+        Map<String, Double> spares = new HashMap<>(ownedShares(split));
         hints.forEach((peer, hint) -> spares.put(peer, hint.spare()));
         shortage.lent().forEach(loan -> spares.merge(loan.peer(), loan.share(), Double::sum));
         Map<String, Double> best = new HashMap<>();
@@ -134,6 +135,15 @@
         return best;
     }
 
+    private Map<String, Double> ownedShares(Split split) {
+        if (split.version() != ownedVersion) {
+            ownedVersion = split.version();
+            ownedShares.clear();
+            split.ownersOf(limit).forEach(owner -> ownedShares.put(owner, split.share(limit, owner)));
+        }
+        return ownedShares;
+    }
+
     /** Takes a grant in; an unknown, late or repeated one is ignored. */
     void granted(String from, LoanGrant grant, double lenderShare) {
         Sent request = sent.get(grant.id());
@@ -162,8 +172,11 @@
     private void endRound(long now) {
         awaited.clear();
         if (roundGot < POOR_ROUND * roundAsked) {
-            retryAt = now + BACK_OFF_NANOS;
+            retryAt = now + backOff;
+            backOff = Math.min(2 * backOff, LONGEST_BACK_OFF_NANOS);
             bucket.expectLoan(false);
+        } else {
+            backOff = BACK_OFF_NANOS;
         }
     }
 }
--- a/core/src/main/java/org/knapweedhatch/limit/Bucket.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Bucket.java
@@ -14,12 +14,12 @@
 final class Bucket {
 
     private static final double NANOS_PER_SECOND = 1e9;
-    private static final double DEMAND_MEMORY_SECONDS = 0.4;
-    private static final double BORROWER_HEADROOM = 1.2;
+    private static final double BORROWER_HEADROOM = 1.15;
+    private static final double URGENT_HEADROOM = 1.4;
     private static final double LENDER_HEADROOM = 1.05;
-    private static final double LOW_WATER = 0.5;
+    private static final double LOW_WATER = 0.35;
     private static final double LENDER_LOW_WATER = 0.25;
-    private static final double REFILL_SECONDS = 0.5;
+    private static final double REFILL_SECONDS = 0.25;
     private static final double IDLE_FLOOR = 0.02;
     private static final double SMALLEST_LOAN = 1e-4;
     private static final double IDLE_DEMAND = 0.01;
@@ -29,7 +29,7 @@
 
     private final LongSupplier clock;
     private final double slowdown;
-    private final Demand demand = new Demand(DEMAND_MEMORY_SECONDS);
+    private final Demand demand = new Demand();
     private final LoanBook borrowed = new LoanBook();
     private final LoanBook lent = new LoanBook();
 
@@ -62,14 +62,25 @@
         if (tokens >= amount) {
             tokens -= amount;
             admitted += amount;
+            if (repeat) {
+                demand.caughtUp(amount);
+            }
             return Admission.Admitted.INSTANCE;
         }
         if (!repeat) {
             refused += amount;
+            demand.refused(amount);
         }
         return refusal(amount);
     }
 
+    /** Counts an amount as refused demand without trying it. */
+    synchronized void queue(long amount) {
+        long now = advance();
+        demand.add(amount, now);
+        demand.refused(amount);
+    }
+
     private Admission refusal(long amount) {
         if (amount > burst) {
             return new Admission.Refused(LONGEST_WAIT, RefusalReason.TOO_LARGE);
@@ -131,9 +142,9 @@
     synchronized LoanGrant lend(String peer, LoanRequest request, long longest) {
         long now = advance();
         double renewed = lent.share(peer, request.renews());
-        double keep = Math.min(Math.max(need(now, LENDER_HEADROOM, LENDER_LOW_WATER), IDLE_FLOOR * owned), 1);
-        long lease = bestLease(now, longest, renewed, keep, request.share());
-        double share = Math.min(request.share(), heldThrough(now, now + lease) + renewed - keep);
+        double keep = ownNeed(now);
+        long lease = bestLease(now, longest, keep, peer, request);
+        double share = Math.min(request.share(), leastHeld(now, now + lease, peer, request.renews()) - keep);
         if (share < SMALLEST_LOAN) {
             return grant(request, 0, 0, 0, 0);
         }
@@ -142,19 +153,21 @@
         tokens -= moved;
         lent.add(new Loan(peer, request.id(), share, now + lease), request.renews());
         settle();
-        double spare = Math.max(0, heldThrough(now, now + lease) - keep);
+        double spare = Math.max(0, leastHeld(now, now + lease) - keep);
         return grant(request, share, moved, lease, spare);
     }
 
-    private long bestLease(long now, long longest, double renewed, double keep, double wanted) {
+    /** Returns the lease for which the most can be lent, counted in share times time. */
+    private long bestLease(long now, long longest, double keep, String peer, LoanRequest request) {
         long best = longest;
         double bestValue = 0;
         for (int divisor = 1; divisor <= SHORTEST_LEASE_DIVISOR; divisor *= 2) {
             long lease = longest / divisor;
-            double share = Math.min(wanted, heldThrough(now, now + lease) + renewed - keep);
-            if (share * lease > bestValue) {
+            double free = leastHeld(now, now + lease, peer, request.renews()) - keep;
+            double value = Math.min(request.share(), free) * lease;
+            if (value > bestValue) {
                 best = lease;
-                bestValue = share * lease;
+                bestValue = value;
             }
         }
         return best;
@@ -165,13 +178,18 @@
     }
 
     /** Returns the least share held at any moment between two times, as far as is known now. */
-    private double heldThrough(long from, long to) {
-        double least = heldAfter(from);
+    private double leastHeld(long from, long to) {
+        return leastHeld(from, to, "", 0);
+    }
+
+    /** Returns the least share held between two times if one of the loans to others did not exist. */
+    private double leastHeld(long from, long to, String peer, long lentId) {
+        double least = heldAfter(from) + lent.shareAfter(from, peer, lentId);
         if (ownedUntil > from && ownedUntil <= to) {
-            least = Math.min(least, heldAfter(ownedUntil));
+            least = Math.min(least, heldAfter(ownedUntil) + lent.shareAfter(ownedUntil, peer, lentId));
         }
         for (Loan loan : borrowed.endingBy(to)) {
-            least = Math.min(least, heldAfter(loan.end()));
+            least = Math.min(least, heldAfter(loan.end()) + lent.shareAfter(loan.end(), peer, lentId));
         }
         return least;
     }
@@ -181,30 +199,38 @@
         return own + borrowed.shareAfter(moment) - lent.shareAfter(moment);
     }
 
-    private double need(long now, double headroom, double lowWater) {
-        double wanted = demand.rate(now);
-        if (wanted < IDLE_DEMAND) {
-            return 0;
-        }
-        double missing = Math.max(0, lowWater * size() - tokens);
-        return (wanted * headroom + missing / REFILL_SECONDS) / rate;
+    /** Returns the share that this host needs for itself before it lends. */
+    private double ownNeed(long now) {
+        double missing = demand.rate(now) < IDLE_DEMAND ? 0 : Math.max(0, LENDER_LOW_WATER * size() - tokens);
+        double need = (demand.rate(now) * LENDER_HEADROOM + missing / REFILL_SECONDS) / rate;
+        return Math.min(1, Math.max(need, IDLE_FLOOR * owned));
     }
 
     /** Returns what should be borrowed so that the forecast demand is met until a horizon. */
     synchronized Shortage shortage(long horizon) {
         long now = advance();
-        double wanted = Math.min(1, need(now, BORROWER_HEADROOM, LOW_WATER));
-        if (wanted <= 0) {
+        double forecast = demand.rate(now);
+        if (forecast < IDLE_DEMAND) {
             return Shortage.NONE;
         }
-        wanted = Math.min(1, Math.max(wanted, 1 / burst));
-        double gap = wanted - heldThrough(now, now + horizon);
-        if (gap < SMALLEST_LOAN) {
+        double least = leastHeld(now, now + horizon);
+        double unmet = demand.unmet(now);
+        double left = tokens + (held * rate - forecast) * horizon / NANOS_PER_SECOND;
+        boolean low = unmet >= 1 || left < LOW_WATER * size();
+        boolean ending = least < held;
+        double wanted = low ? urgentNeed(now, unmet) : forecast * BORROWER_HEADROOM / rate;
+        double gap = Math.min(1, Math.max(wanted, 1 / burst)) - least;
+        if (!(low || ending) || gap < SMALLEST_LOAN) {
             return Shortage.NONE;
         }
         return new Shortage(gap, borrowed.endingBy(now + horizon), lent.all());
     }
 
+    private double urgentNeed(long now, double unmet) {
+        double missing = Math.max(0, LOW_WATER * size() - tokens) + unmet;
+        return (demand.urgentRate(now) * URGENT_HEADROOM + missing / REFILL_SECONDS) / rate;
+    }
+
     synchronized LimitMetrics metrics(LimitId limit) {
         long now = advance();
         double standing = ownedUntil > now ? owned : 0;
--- a/core/src/main/java/org/knapweedhatch/limit/Demand.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Demand.java
@@ -1,25 +1,68 @@
 package org.knapweedhatch.limit;
 
-/** A moving average of what is asked for, in tokens per second, that forgets exponentially. */
+/**
+ * Forecasts what is asked for, in tokens per second.
+ *
+ * <p>A slow and a quick moving average, both bounded by how long nothing was asked for; and the amount that was refused
+ * and not yet admitted.
+ */
 final class Demand {
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double SLOW_SECONDS = 0.6;
+    private static final double QUICK_SECONDS = 0.1;
+    private static final double SILENCE_FACTOR = 4;
 
-    private final double memorySeconds;
-    private double rate;
+    private double slow;
+    private double quick;
+    private double unmet;
+    private double lastAmount;
     private long at;
 
-    Demand(double memorySeconds) {
-        this.memorySeconds = memorySeconds;
+    /** Notes that an amount was asked for. */
+    void add(double amount, long now) {
+        age(now);
+        slow += amount / SLOW_SECONDS;
+        quick += amount / QUICK_SECONDS;
+        lastAmount = amount;
     }
 
-    void add(double amount, long now) {
-        rate = rate(now) + amount / memorySeconds;
+    /** Notes that an amount was refused. */
+    void refused(double amount) {
+        unmet += amount;
+    }
+
+    /** Notes that a repeat was admitted. */
+    void caughtUp(double amount) {
+        unmet = Math.max(0, unmet - amount);
+    }
+
+    private void age(long now) {
+        double elapsed = elapsed(now);
+        slow *= Math.exp(-elapsed / SLOW_SECONDS);
+        quick *= Math.exp(-elapsed / QUICK_SECONDS);
+        unmet *= Math.exp(-elapsed / SLOW_SECONDS);
         at = Math.max(at, now);
     }
 
+    private double elapsed(long now) {
+        return Math.max(0, now - at) / NANOS_PER_SECOND;
+    }
+
+    /** Returns the forecast of a host that is served. */
     double rate(long now) {
-        double elapsed = Math.max(0, now - at) / NANOS_PER_SECOND;
-        return rate * Math.exp(-elapsed / memorySeconds);
+        double elapsed = elapsed(now);
+        double average = slow * Math.exp(-elapsed / SLOW_SECONDS);
+        return elapsed > 0 ? Math.min(average, SILENCE_FACTOR * lastAmount / elapsed) : average;
+    }
+
+    /** Returns the forecast of a host that runs short: the quick average counts as well. */
+    double urgentRate(long now) {
+        return Math.max(rate(now), quick * Math.exp(-elapsed(now) / QUICK_SECONDS));
+    }
+
+    /** Returns the amount that was refused of late and not admitted since. */
+    double unmet(long now) {
+        return unmet * Math.exp(-elapsed(now) / SLOW_SECONDS);
     }
 }
--- a/core/src/main/java/org/knapweedhatch/limit/Fence.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Fence.java
@@ -30,6 +30,9 @@
     private final Map<String, Peer> peers = new HashMap<>();
     private final TreeMap<Long, Long> sent = new TreeMap<>();
     private final Map<String, Long> fenceKnownAt = new HashMap<>();
+    private long latest = -1;
+    private List<String> electors = List.of();
+    private List<String> mates = List.of();
     private boolean undecided;
     private long sequence;
     private long sentAt = Long.MIN_VALUE;
@@ -71,13 +74,35 @@
     }
 
     private Set<String> partners(Split split) {
-        String domain = split.host(self).orElseThrow().domain();
-        Set<String> names = new HashSet<>(Electors.of(split, domain));
-        split.domain(domain).forEach(h -> names.add(h.name()));
+        Set<String> names = new HashSet<>(electors(split));
+        names.addAll(mates);
         names.remove(self);
         return names;
     }
 
+    private List<String> electors(Split split) {
+        keepUp(split);
+        return electors;
+    }
+
+    private List<String> mates(Split split) {
+        keepUp(split);
+        return mates;
+    }
+
+    private void keepUp(Split split) {
+        if (split.version() == latest) {
+            return;
+        }
+        latest = split.version();
+        String domain = split.host(self).map(SplitHost::domain).orElse("");
+        electors = Electors.of(split, domain);
+        mates = split.domain(domain).stream()
+                .map(SplitHost::name)
+                .filter(name -> !name.equals(self))
+                .toList();
+    }
+
     private Confirm message(String to, long number, boolean answer, Split split) {
         Peer peer = peer(to);
         return new Confirm(incarnation, number, answer, split.version(), anchor, peer.anchor, peer.incarnation);
@@ -154,10 +179,7 @@
 
     /** Remembers since when another host of the domain could fence this one. */
     private void noteFence(Split split, long now) {
-        boolean fenceable = split.host(self)
-                .map(own -> split.domain(own.domain()).stream()
-                        .anyMatch(h -> !h.name().equals(self) && peer(h.name()).isAnchored()))
-                .orElse(false);
+        boolean fenceable = mates(split).stream().anyMatch(name -> peer(name).isAnchored());
         if (!fenceable) {
             fencedSince = Long.MIN_VALUE;
         } else if (fencedSince == Long.MIN_VALUE) {
@@ -171,7 +193,7 @@
         if (!isCurrent(split) || fenced || now < startedAt + settings.lengthened(settings.lease())) {
             return NEVER;
         }
-        updateAnchor(split, now);
+        noteFence(split, now);
         if (fencedSince == Long.MIN_VALUE) {
             return majorityAt + settings.shortened(settings.reclaim());
         }
--- a/core/src/main/java/org/knapweedhatch/limit/Limiter.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Limiter.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -102,6 +103,17 @@
         return admit(limit, amount, true);
     }
 
+    /**
+     * Notes an amount that its caller holds back behind others that wait, so that it is borrowed for; it is to be tried
+     * by {@link #admitAgain}.
+     */
+    public void queue(LimitId limit, long amount) {
+        Part part = parts.get(limit);
+        if (part != null) {
+            part.bucket().queue(amount);
+        }
+    }
+
     private Admission admit(LimitId limit, long amount, boolean repeat) {
         Part part = parts.get(limit);
         return part == null ? UNKNOWN : part.bucket().admit(amount, repeat);
@@ -246,7 +258,9 @@
             peer.newsSentAt = now;
             out.add(new Outgoing(from, new SplitNews(steward.split().text())));
         }
-        refresh(false);
+        if (confirm.answer()) {
+            refresh(false);
+        }
         return out;
     }
 
@@ -256,7 +270,6 @@
         if (part == null || answered.putIfAbsent(key, now()) != null) {
             return List.of();
         }
-        refresh(false);
         LoanGrant grant = part.bucket().lend(from, request, settings.lease().toNanos());
         return List.of(new Outgoing(from, grant));
     }
@@ -271,7 +284,10 @@
     }
 
     private void forgetAnswered(long now) {
-        answered.values().removeIf(at -> now - at > REQUEST_MEMORY_NANOS);
+        Iterator<Long> oldest = answered.values().iterator();
+        while (oldest.hasNext() && now - oldest.next() > REQUEST_MEMORY_NANOS) {
+            oldest.remove();
+        }
     }
 
     /** Brings the owned shares and their end up to date. */
--- a/core/src/main/java/org/knapweedhatch/limit/LoanBook.java
+++ b/core/src/main/java/org/knapweedhatch/limit/LoanBook.java
@@ -50,6 +50,17 @@
         return sum;
     }
 
+    /** Returns the share of one loan, where it lasts beyond a moment. */
+    double shareAfter(long moment, String peer, long id) {
+        double sum = 0;
+        for (Loan loan : loans) {
+            if (loan.end() > moment && loan.is(peer, id)) {
+                sum += loan.share();
+            }
+        }
+        return sum;
+    }
+
     /** Returns when the next loan ends. */
     long nextEnd() {
         long next = Long.MAX_VALUE;
--- a/core/src/main/java/org/knapweedhatch/limit/Steward.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Steward.java
@@ -45,6 +45,9 @@
         abstract boolean concerns(SplitHost other, Host self);
     }
 
+    /** All that a gift depends on. */
+    private record GiftBasis(long version, List<String> alive, boolean leaving) {}
+
     private final Host self;
     private final long incarnation;
     private final LimitSettings settings;
@@ -53,6 +56,7 @@
     private boolean known;
     private View view;
     private boolean leaving;
+    private GiftBasis giftBasis;
     private Split gift;
     private long giftSince;
     private SplitProposal undecided;
@@ -248,9 +252,11 @@
 
     /** Decides what to give away; the share is out of use from that moment on, before anything is written. */
     private void planGift(long now) {
-        if (undecided != null) {
+        GiftBasis basis = new GiftBasis(split.version(), alive(), leaving);
+        if (undecided != null || basis.equals(giftBasis)) {
             return;
         }
+        giftBasis = basis;
         SplitDraft draft = split.draft();
         boolean current = split.host(self.name())
                 .map(h -> h.incarnation() == incarnation && !h.isFenced())
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/limit/CentralBucket.java
@@ -0,0 +1,26 @@
+package org.knapweedhatch.limit;
+
+/** The naive limit: one token bucket that sees every arrival at once. */
+final class CentralBucket {
+
+    private final double rate;
+    private final double burst;
+    private double tokens;
+    private long at;
+
+    CentralBucket(double rate, double burst) {
+        this.rate = rate;
+        this.burst = burst;
+        tokens = burst;
+    }
+
+    boolean admit(long now) {
+        tokens = Math.min(burst, tokens + rate * (now - at) / 1e9);
+        at = now;
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/limit/MessageSize.java
@@ -0,0 +1,55 @@
+package org.knapweedhatch.limit;
+
+import java.nio.charset.StandardCharsets;
+import org.knapweedhatch.message.PeerMessage;
+
+/** Estimates the encoded size of a message: variable-length integers, eight bytes per double, frame included. */
+final class MessageSize {
+
+    private static final int FRAME_BYTES = 12;
+
+    private MessageSize() {}
+
+    static int of(PeerMessage message) {
+        if (message instanceof Confirm c) {
+            return FRAME_BYTES
+                    + number(c.incarnation())
+                    + number(c.sequence())
+                    + 2
+                    + number(c.version())
+                    + number(c.anchor())
+                    + number(c.heardAnchor())
+                    + number(c.heardIncarnation());
+        }
+        if (message instanceof LoanRequest r) {
+            return FRAME_BYTES
+                    + number(r.id())
+                    + number(r.incarnation())
+                    + text(r.limit().name())
+                    + 2
+                    + number(r.renews())
+                    + 9;
+        }
+        if (message instanceof LoanGrant g) {
+            int names = g.borrowers().stream().mapToInt(MessageSize::text).sum();
+            return FRAME_BYTES
+                    + number(g.id())
+                    + number(g.incarnation())
+                    + text(g.limit().name())
+                    + 2
+                    + number(g.renews())
+                    + 27
+                    + number(g.leaseNanos())
+                    + names;
+        }
+        return FRAME_BYTES + text(((SplitNews) message).text());
+    }
+
+    private static int text(String text) {
+        return 2 + text.getBytes(StandardCharsets.UTF_8).length;
+    }
+
+    private static int number(long value) {
+        return 2 + (63 - Long.numberOfLeadingZeros(value | 1)) / 7;
+    }
+}
