--- a/core/src/main/java/org/knapweedhatch/answer/Claims.java
+++ b/core/src/main/java/org/knapweedhatch/answer/Claims.java
@@ -41,6 +41,7 @@
     private static final int PART_SIZE = 200;
     private static final int RELEASES = 4;
     private static final long REPEAT_NANOS = Duration.ofMillis(100).toNanos();
+    private static final long COPY_NANOS = Duration.ofMillis(500).toNanos();
     private static final double CLOCK_DRIFT = 0.01;
 
     private final String self;
@@ -53,6 +54,7 @@
     private final Map<Claimant, Departure> releases = new LinkedHashMap<>();
     private Roster roster;
     private long lastRepeat;
+    private long lastCopyAsk = Long.MIN_VALUE / 2;
 
     /** A claim that this host asks votes for, or holds. */
     private static final class Bid {
@@ -354,7 +356,8 @@
     private List<Outgoing> repeated(long now) {
         List<Outgoing> messages = new ArrayList<>();
         store.expire(now);
-        if (roster != null) {
+        if (roster != null && now - lastCopyAsk >= COPY_NANOS) {
+            lastCopyAsk = now;
             ClaimMessage.CopyAsk ask = new ClaimMessage.CopyAsk(roster.number(), now);
             readiness.missing(now).forEach(host -> messages.add(new Outgoing(host, ask)));
         }
--- a/core/src/main/java/org/knapweedhatch/answer/Lives.java
+++ b/core/src/main/java/org/knapweedhatch/answer/Lives.java
@@ -13,6 +13,7 @@
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.message.Outgoing;
 import org.knapweedhatch.steer.Placement;
+import org.knapweedhatch.steer.RelayResult;
 import org.knapweedhatch.steer.SlotTerms;
 import org.knapweedhatch.steer.Steering;
 import org.knapweedhatch.steer.TargetResult;
@@ -24,6 +25,13 @@
     /** Attempts after which a request is given up. */
     static final int MOST_ATTEMPTS = 6;
 
+    private static final Map<TargetResult, RelayResult> RELAYED = Map.of(
+            TargetResult.ANSWERED, RelayResult.ENDED,
+            TargetResult.CANCELLED, RelayResult.ENDED,
+            TargetResult.LATE, RelayResult.ENDED,
+            TargetResult.SHED, RelayResult.REFUSED,
+            TargetResult.FAILED, RelayResult.FAILED);
+
     private final Steering steering;
     private final Claims claims;
     private final TimeSource time;
@@ -134,7 +142,7 @@
         if (placement instanceof Placement.Local local) {
             applyAll(steering.ended(local.target(), TargetResult.CANCELLED, Duration.ZERO), turn);
         } else if (placement instanceof Placement.Remote remote) {
-            steering.relayEnded(remote.job().service(), remote.host(), false);
+            applyAll(steering.relayEnded(remote.job().service(), remote.host(), RelayResult.ENDED), turn);
         }
     }
 
@@ -173,14 +181,14 @@
             finishAttempt(life, TargetResult.FAILED, turn);
             retry(life, true, turn);
         } else if (event instanceof Event.ConnectionLost e && isTrying(life, e.attempt())) {
-            abandonAttempt(life, TargetResult.FAILED);
+            abandonAttempt(life, TargetResult.FAILED, turn);
             retry(life, false, turn);
         } else if (event instanceof Event.SaidNotRun e && isTrying(life, e.attempt())) {
             boolean charged = life.attempt().target().isPresent();
             finishAttempt(life, TargetResult.SHED, turn);
             retry(life, !charged || life.head().relayed() || retries.take(), turn, Reason.SHED);
         } else if (event instanceof Event.SaidUnknown e && isTrying(life, e.attempt())) {
-            abandonAttempt(life, TargetResult.FAILED);
+            abandonAttempt(life, TargetResult.FAILED, turn);
             retry(life, false, turn);
         } else if (event instanceof Event.AnswerBegan e && isTrying(life, e.attempt())) {
             life.move(State.ANSWERING);
@@ -196,7 +204,7 @@
             send(claims.answered(life.request(), e.kept()), turn);
             end(life, turn);
         } else if (event instanceof Event.AnswerBroke e && isAnswering(life, e.attempt())) {
-            abandonAttempt(life, TargetResult.FAILED);
+            abandonAttempt(life, TargetResult.FAILED, turn);
             claims.abandon(life.request());
             turn.effects().add(new Effect.Break(life.request()));
             end(life, turn);
@@ -222,13 +230,12 @@
         if (attempt.target().isPresent()) {
             applyAll(steering.ended(attempt.target().get(), result, taken), turn);
         } else {
-            boolean refused = result != TargetResult.ANSWERED;
-            applyAll(steering.relayEnded(life.head().service(), attempt.host().orElseThrow(), refused), turn);
+            relayEnded(life, attempt, RELAYED.get(result), turn);
         }
     }
 
     /** Ends an attempt that its target may still run: the slot stays taken until the target must have stopped. */
-    private void abandonAttempt(RequestLife life, TargetResult result) {
+    private void abandonAttempt(RequestLife life, TargetResult result, Turn turn) {
         Attempt attempt = life.attempt();
         life.endAttempt();
         life.mayHaveRun();
@@ -238,11 +245,14 @@
             long key = attemptKey(life.request(), attempt.number());
             steering.linger(key, attempt.target().get(), result, time.since(attempt.startedNanos()), until);
         } else {
-            boolean failed = result == TargetResult.FAILED;
-            steering.relayEnded(life.head().service(), attempt.host().orElseThrow(), failed);
+            relayEnded(life, attempt, RELAYED.get(result), turn);
         }
     }
 
+    private void relayEnded(RequestLife life, Attempt attempt, RelayResult result, Turn turn) {
+        applyAll(steering.relayEnded(life.head().service(), attempt.host().orElseThrow(), result), turn);
+    }
+
     private static long attemptKey(long request, int attempt) {
         return request * (MOST_ATTEMPTS + 1) + attempt;
     }
@@ -294,7 +304,7 @@
 
     private void cancelAttempt(RequestLife life, TargetResult result, Turn turn) {
         turn.effects().add(new Effect.Cancel(life.request(), life.attempt().number()));
-        abandonAttempt(life, result);
+        abandonAttempt(life, result, turn);
     }
 
     private void callerGone(RequestLife life, Turn turn) {
--- a/core/src/main/java/org/knapweedhatch/steer/PeerLoads.java
+++ b/core/src/main/java/org/knapweedhatch/steer/PeerLoads.java
@@ -10,10 +10,10 @@
 import org.knapweedhatch.world.Host;
 
 /**
- * What other hosts have said of their load for one service, corrected by what was sent to them since.
+ * What other hosts have said of their load for one service, corrected by what was sent to them and came back since.
  *
- * <p>A report only proposes a host; the host itself decides. A host that refused is left out for a while, twice as long
- * each time, so that a false report costs little.
+ * <p>A report only proposes a host; the host itself decides. A host that could not be reached, or that refuses although
+ * it reports room, is left out for a while, twice as long each time.
  *
  * <p>Not safe for use by several threads; its shard's lock guards it.
  */
@@ -22,8 +22,9 @@
     /** Age at which a report is worth nothing any more. */
     static final Duration FRESH = Duration.ofSeconds(1);
 
-    private static final long FIRST_PAUSE_NANOS = Duration.ofMillis(20).toNanos();
+    private static final long FIRST_PAUSE_NANOS = Duration.ofMillis(50).toNanos();
     private static final int MOST_DOUBLINGS = 6;
+    private static final int FALSE_REPORTS = 3;
 
     private final TimeSource time;
     private final Map<String, Peer> peers = new HashMap<>();
@@ -32,10 +33,12 @@
         private LoadReport.ServiceLoad load;
         private long heardAt;
         private int sentSince;
+        private int endedSince;
+        private boolean full;
         private int running;
-        private int refusals;
+        private int falseReports;
+        private int pauses;
         private long pausedUntil;
-        private boolean paused;
     }
 
     PeerLoads(TimeSource time) {
@@ -51,6 +54,8 @@
         peer.load = load;
         peer.heardAt = time.nanos();
         peer.sentSince = 0;
+        peer.endedSince = 0;
+        peer.full = false;
     }
 
     void sent(String host) {
@@ -59,50 +64,78 @@
         peer.running++;
     }
 
-    void ended(String host, boolean refused) {
+    void ended(String host, RelayResult result) {
         Peer peer = peer(host);
+        boolean claimedRoom = room(peer) >= 0 && !peer.full;
         peer.running = Math.max(0, peer.running - 1);
-        if (!refused) {
-            peer.refusals = 0;
-            return;
+        peer.endedSince++;
+        switch (result) {
+            case ENDED -> {
+                peer.falseReports = 0;
+                peer.pauses = 0;
+            }
+            case REFUSED -> {
+                peer.full = true;
+                peer.falseReports += claimedRoom ? 1 : 0;
+                if (peer.falseReports >= FALSE_REPORTS) {
+                    pause(peer);
+                }
+            }
+            default -> pause(peer);
         }
-        peer.paused = true;
-        peer.pausedUntil = time.nanos() + (FIRST_PAUSE_NANOS << Math.min(peer.refusals++, MOST_DOUBLINGS));
     }
 
-    /** Returns how many more requests a host is believed to have room for; 0 where its report is old. */
-    int free(String host) {
-        Peer peer = peers.get(host);
-        if (peer == null || peer.load == null || !usable(host)) {
-            return 0;
-        }
-        boolean fresh = time.nanos() - peer.heardAt < FRESH.toNanos();
-        return fresh ? peer.load.free() - peer.sentSince : 0;
+    private void pause(Peer peer) {
+        peer.pausedUntil = time.nanos() + (FIRST_PAUSE_NANOS << Math.min(peer.pauses++, MOST_DOUBLINGS));
+    }
+
+    private static int room(Peer peer) {
+        return peer.load == null ? 0 : peer.load.free() - peer.sentSince + peer.endedSince;
+    }
+
+    private boolean usable(Peer peer) {
+        return peer == null || peer.pauses == 0 || time.nanos() >= peer.pausedUntil;
     }
 
-    /** Returns the wait that a host last forecast. */
-    long waitNanos(String host) {
+    private boolean fresh(Peer peer) {
+        return peer != null && peer.load != null && time.nanos() - peer.heardAt < FRESH.toNanos();
+    }
+
+    /** Returns how many more requests a host is believed to have room for; 0 where its report is old. */
+    int room(String host) {
         Peer peer = peers.get(host);
-        return peer == null || peer.load == null ? 0 : peer.load.waitNanos();
+        return fresh(peer) && usable(peer) && !peer.full ? Math.max(0, room(peer)) : 0;
     }
 
-    /** Returns whether a host has not refused lately. */
-    boolean usable(String host) {
+    /** Returns the wait to expect at a host; the greatest number where nothing is known or it runs nothing. */
+    long waitNanos(String host, double serviceNanos) {
         Peer peer = peers.get(host);
-        return peer == null || !peer.paused || time.nanos() >= peer.pausedUntil;
+        if (!fresh(peer) || !usable(peer) || peer.load.capacity() == 0) {
+            return Long.MAX_VALUE;
+        }
+        int beyond = Math.max(0, -room(peer));
+        return peer.load.waitNanos() + (long) (beyond * serviceNanos / peer.load.capacity());
     }
 
     /** Returns the host with the most room by its report; empty where none has any. */
     Optional<Host> roomiest(Collection<Host> hosts) {
         return hosts.stream()
-                .filter(host -> free(host.name()) > 0)
-                .max(Comparator.<Host>comparingInt(host -> free(host.name())).thenComparing(Host::name));
+                .filter(host -> room(host.name()) > 0)
+                .max(Comparator.<Host>comparingInt(host -> room(host.name())).thenComparing(Host::name));
+    }
+
+    /** Returns the host with the shortest wait to expect; empty where none is known. */
+    Optional<Host> shortest(Collection<Host> hosts, double serviceNanos) {
+        return hosts.stream()
+                .filter(host -> waitNanos(host.name(), serviceNanos) < Long.MAX_VALUE)
+                .min(Comparator.<Host>comparingLong(host -> waitNanos(host.name(), serviceNanos))
+                        .thenComparing(Host::name));
     }
 
     /** Returns the usable host with the fewest requests of this host, whatever the reports say. */
     Optional<Host> leastSent(Collection<Host> hosts) {
         return hosts.stream()
-                .filter(host -> usable(host.name()))
+                .filter(host -> usable(peers.get(host.name())))
                 .min(Comparator.<Host>comparingInt(host -> peer(host.name()).running)
                         .thenComparing(Host::name));
     }
--- a/core/src/main/java/org/knapweedhatch/steer/RegionChooser.java
+++ b/core/src/main/java/org/knapweedhatch/steer/RegionChooser.java
@@ -31,7 +31,7 @@
         this.links = links;
     }
 
-    /** Returns a host elsewhere, its share and link bytes taken; empty where the request had better stay. */
+    /** Returns a host elsewhere, its link bytes taken; empty where the request had better stay. */
     Optional<Host> choose(Job job, long localWaitNanos, Map<String, List<Host>> hostsByRegion) {
         String best = null;
         long bestCost = Long.MAX_VALUE;
@@ -48,7 +48,7 @@
                 bestCost = cost;
             }
         }
-        if (best == null || !worthIt(localWaitNanos, bestCost) || !takeWay(job, best)) {
+        if (best == null || !worthIt(localWaitNanos, bestCost) || !takeLinks(job, best)) {
             return Optional.empty();
         }
         return peers.roomiest(hostsByRegion.get(best));
@@ -70,14 +70,13 @@
                 || ledger.take(job.origin(), region);
     }
 
-    private boolean takeWay(Job job, String region) {
-        return links.take(ownRegion, region, job.bytesOut())
-                && links.take(region, ownRegion, job.bytesBack())
-                && charge(job, region);
+    /** Takes the bytes of a job's way to a region and back; returns false where they are not there. */
+    boolean takeLinks(Job job, String region) {
+        return links.take(ownRegion, region, job.bytesOut()) && links.take(region, ownRegion, job.bytesBack());
     }
 
     private long cost(String region, Host host) {
-        return 2 * distances.between(ownRegion, region).toNanos() + peers.waitNanos(host.name());
+        return 2 * distances.between(ownRegion, region).toNanos() + peers.waitNanos(host.name(), 0);
     }
 
     private static boolean worthIt(long localWaitNanos, long awayNanos) {
--- a/core/src/main/java/org/knapweedhatch/steer/ServiceShard.java
+++ b/core/src/main/java/org/knapweedhatch/steer/ServiceShard.java
@@ -19,10 +19,8 @@
 /** Everything that steers one service at one host, under one lock. */
 final class ServiceShard {
 
-    private static final double SMOOTHING = 0.1;
-    private static final long FIRST_SERVICE_NANOS = Duration.ofMillis(20).toNanos();
-    private static final long NEIGHBOUR_WAIT_NANOS = Duration.ofMillis(20).toNanos();
-    private static final double SHORTEST_RUN = 0.5;
+    private static final double CLEARLY_LONGER = 1.25;
+    private static final int MOST_STUCK = 8;
 
     private final String service;
     private final String ownRegion;
@@ -38,7 +36,7 @@
             new PriorityQueue<>(Comparator.comparingLong(Lingering::untilNanos));
     private Configuration configuration = Configuration.empty();
     private Map<String, List<Host>> hostsByRegion = Map.of();
-    private double serviceNanos = FIRST_SERVICE_NANOS;
+    private final ServiceTime serviceTime = new ServiceTime();
 
     /** A slot whose request may still run at the target. */
     private record Lingering(long request, Target target, long untilNanos) {}
@@ -99,34 +97,43 @@
     }
 
     private Optional<Placement> relay(Job job, boolean mayStay) {
-        int capacity = mayStay ? pool.capacity() : 0;
-        if (mayStay || job.origin().equals(ownRegion)) {
-            Optional<Host> neighbour = neighbour(job, capacity);
-            if (neighbour.isPresent()) {
-                chooser.charge(job, ownRegion);
-                return Optional.of(sent(job, neighbour.get()));
-            }
+        Map<String, List<Host>> open = untried(job);
+        List<Host> near = mayStay ? open.getOrDefault(ownRegion, List.of()) : List.of();
+        Optional<Host> chosen = peers.roomiest(near);
+        if (chosen.isEmpty()) {
+            long here = mayStay && pool.capacity() > 0 ? forecast(job) : Long.MAX_VALUE;
+            chosen = waitingElsewhere(job, here, near, open);
         }
-        long localWait = capacity == 0 ? Long.MAX_VALUE : forecast(job);
-        Map<String, List<Host>> away = untried(job);
-        Optional<Host> host = chooser.choose(job, localWait, away);
-        if (host.isEmpty() && !mayStay) {
-            host = peers.leastSent(away.getOrDefault(job.origin(), List.of()));
+        if (chosen.isEmpty() && !mayStay) {
+            chosen = peers.leastSent(open.getOrDefault(job.origin(), List.of()))
+                    .filter(host -> chooser.takeLinks(job, host.region()));
         }
-        return host.map(chosen -> sent(job, chosen));
+        return chosen.map(host -> sent(job, host));
     }
 
-    private Optional<Host> neighbour(Job job, int capacity) {
-        List<Host> near = untried(job).getOrDefault(ownRegion, List.of());
-        Optional<Host> roomy = peers.roomiest(near);
-        if (roomy.isPresent() || capacity > 0) {
-            return roomy;
+    private Optional<Host> waitingElsewhere(Job job, long here, List<Host> near, Map<String, List<Host>> open) {
+        Optional<Host> shortest = peers.shortest(near, serviceTime.meanNanos());
+        long there = shortest.map(host -> waitAt(host)).orElse(Long.MAX_VALUE);
+        Optional<Host> away = chooser.choose(job, Math.min(here, there), open);
+        if (away.isPresent()) {
+            return away;
         }
+        if (here == Long.MAX_VALUE) {
+            return shortest.isPresent() ? shortest : peers.leastSent(owning(near));
+        }
+        return shortest.filter(host -> waitAt(host) * CLEARLY_LONGER < here);
+    }
+
+    private long waitAt(Host host) {
+        long way = 2 * distances.between(ownRegion, host.region()).toNanos();
+        return way + peers.waitNanos(host.name(), serviceTime.meanNanos());
+    }
+
+    private List<Host> owning(List<Host> near) {
         Set<String> owners = configuration.targetsOf(service).stream()
                 .flatMap(target -> slots.owner(target.name()).stream())
                 .collect(Collectors.toSet());
-        List<Host> owning = near.stream().filter(h -> owners.contains(h.name())).toList();
-        return peers.leastSent(owning);
+        return near.stream().filter(host -> owners.contains(host.name())).toList();
     }
 
     private Map<String, List<Host>> untried(Job job) {
@@ -140,6 +147,7 @@
     }
 
     private Placement sent(Job job, Host host) {
+        chooser.charge(job, host.region());
         peers.sent(host.name());
         return new Placement.Remote(job.chargedFor(host.region()), host.name());
     }
@@ -150,8 +158,8 @@
             return refuse(job, Placement.Reason.NO_TARGET, wait);
         }
         long remaining = job.deadlineNanos() - time.nanos();
-        long bound = job.relayed() ? relayBound(job) : Long.MAX_VALUE;
-        if (wait > bound || wait + serviceNanos > remaining) {
+        boolean stranger = job.relayed() && !job.sender().equals(ownRegion);
+        if (stranger || wait + serviceTime.likelyNanos() > remaining) {
             return refuse(job, Placement.Reason.BUSY, wait);
         }
         chooser.charge(job, ownRegion);
@@ -160,10 +168,6 @@
         return new Placement.Waiting(charged);
     }
 
-    private long relayBound(Job job) {
-        return job.sender().equals(ownRegion) ? NEIGHBOUR_WAIT_NANOS : 0;
-    }
-
     private static Placement refuse(Job job, Placement.Reason reason, long waitNanos) {
         return new Placement.Refused(job, reason, Duration.ofNanos(waitNanos));
     }
@@ -175,7 +179,7 @@
 
     private long forecast(Job job) {
         double ahead = queue.ahead(job.team(), weight(job.team())) + 1;
-        return (long) (ahead * serviceNanos / Math.max(1, pool.capacity()));
+        return (long) (ahead * serviceTime.meanNanos() / Math.max(1, pool.capacity()));
     }
 
     /** Frees a slot, tells the pool how the request went, and gives free slots to waiting requests. */
@@ -203,13 +207,13 @@
     private void learn(Target target, TargetResult result, Duration taken) {
         result.tell(pool, target.name(), taken);
         if (result == TargetResult.ANSWERED) {
-            serviceNanos += SMOOTHING * (taken.toNanos() - serviceNanos);
+            serviceTime.add(taken);
         }
     }
 
-    synchronized List<Placement> relayEnded(String host, boolean refused) {
-        peers.ended(host, refused);
-        return List.of();
+    synchronized List<Placement> relayEnded(String host, RelayResult result) {
+        peers.ended(host, result);
+        return grant();
     }
 
     synchronized List<Placement> heard(String host, LoadReport.ServiceLoad load) {
@@ -235,8 +239,8 @@
 
     synchronized LoadReport.ServiceLoad load() {
         int capacity = pool.capacity();
-        int free = queue.size() > 0 ? 0 : pool.free();
-        long wait = (long) (queue.size() * serviceNanos / Math.max(1, capacity));
+        int free = pool.free() - queue.size();
+        long wait = (long) (queue.size() * serviceTime.meanNanos() / Math.max(1, capacity));
         return new LoadReport.ServiceLoad(service, capacity, free, wait);
     }
 
@@ -245,7 +249,7 @@
         if (queue.size() == 0) {
             return placed;
         }
-        long latestStart = time.nanos() + (long) (serviceNanos * SHORTEST_RUN);
+        long latestStart = time.nanos() + (long) serviceTime.likelyNanos();
         for (Job job : queue.expire(latestStart)) {
             placed.add(refuse(job, Placement.Reason.BUSY, forecast(job)));
         }
@@ -259,10 +263,10 @@
 
     private boolean grantNext(List<Placement> placed, List<Job> stuck) {
         boolean here = pool.free() > 0;
-        boolean near = !here
+        boolean room = !here
                 && peers.roomiest(hostsByRegion.getOrDefault(ownRegion, List.of()))
                         .isPresent();
-        if (!here && !near) {
+        if (!here && !room) {
             return false;
         }
         Job job = queue.poll().orElseThrow();
@@ -272,12 +276,13 @@
             placed.add(new Placement.Local(job, target.get()));
             return true;
         }
-        Optional<Host> host = job.relayed() ? Optional.empty() : neighbour(job, 1);
+        List<Host> near = untried(job).getOrDefault(ownRegion, List.of());
+        Optional<Host> host = job.relayed() ? Optional.empty() : peers.roomiest(near);
         if (host.isPresent()) {
             placed.add(sent(job, host.get()));
         } else {
             stuck.add(job);
         }
-        return host.isPresent() || stuck.size() < 8;
+        return host.isPresent() || stuck.size() < MOST_STUCK;
     }
 }
--- a/core/src/main/java/org/knapweedhatch/steer/Steering.java
+++ b/core/src/main/java/org/knapweedhatch/steer/Steering.java
@@ -99,8 +99,8 @@
     }
 
     /** Notes that a request sent to another host came back. */
-    public List<Placement> relayEnded(String service, String host, boolean refused) {
-        return shard(service).relayEnded(host, refused);
+    public List<Placement> relayEnded(String service, String host, RelayResult result) {
+        return shard(service).relayEnded(host, result);
     }
 
     /** Takes another host's load report in. */
--- a/core/src/main/java/org/knapweedhatch/steer/TargetPool.java
+++ b/core/src/main/java/org/knapweedhatch/steer/TargetPool.java
@@ -164,10 +164,12 @@
         return known.length == 0 ? Double.MAX_VALUE : known[(known.length - 1) / 2];
     }
 
-    /** Counts an answer that did not come in time as one that took so long, and as a failure. */
+    /**
+     * Counts an answer that did not come in a time much longer than usual as one that took so long, and as a failure.
+     */
     void late(String target, Duration taken) {
         Entry entry = entries.get(target);
-        if (entry != null) {
+        if (entry != null && taken.toNanos() > LATE_RATIO * typicalLatency()) {
             entry.latency = Math.max(entry.latency, taken.toNanos());
             entry.limit.late(time.nanos());
             failed(target);
--- a/core/src/test/java/org/knapweedhatch/answer/FakeWorld.java
+++ b/core/src/test/java/org/knapweedhatch/answer/FakeWorld.java
@@ -40,6 +40,22 @@
     final Duration timeout;
     Duration serviceTime = Duration.ofMillis(40);
     double faultRate;
+    ReportFault reportFault = ReportFault.NONE;
+    final Map<String, Long> linkBytes = new HashMap<>();
+    final Map<String, Long> linkBytesTaken = new HashMap<>();
+    final Map<String, Set<Long>> shifted = new TreeMap<>();
+    final Map<String, Long> arose = new TreeMap<>();
+    long linkBytesLimit = Long.MAX_VALUE;
+
+    /** What is wrong with the load reports of the hosts. */
+    enum ReportFault {
+        NONE,
+        MISSING,
+        LATE,
+        FROZEN,
+        WRONG
+    }
+
     Roster roster;
     private final PriorityQueue<Step> steps =
             new PriorityQueue<>(Comparator.comparingLong(Step::at).thenComparingLong(Step::order));
@@ -150,6 +166,7 @@
     }
 
     private void arrive(FakeHost host, Call call) {
+        arose.merge(window() + call.origin, 1L, Long::sum);
         if (host.dead()) {
             end(call, Call.End.BROKEN, null);
         } else {
@@ -185,6 +202,39 @@
         }
     }
 
+    /** Takes bytes of a link out of a budget for the whole run. */
+    boolean takeLink(String from, String to, long bytes) {
+        String link = from + "->" + to;
+        if (linkBytesTaken.getOrDefault(link, 0L) + bytes > linkBytesLimit) {
+            return false;
+        }
+        linkBytesTaken.merge(link, bytes, Long::sum);
+        return true;
+    }
+
+    /** Notes that a request passes between two regions, as the network would see it. */
+    void passes(String from, String to) {
+        if (!from.equals(to)) {
+            linkBytes.merge(from + "->" + to, 500L, Long::sum);
+            linkBytes.merge(to + "->" + from, 2000L, Long::sum);
+        }
+    }
+
+    /** Notes that a request that arose in one region is sent to run in another. */
+    void steered(Call call, String region) {
+        if (!call.origin.equals(region)) {
+            String pair = call.origin + "->" + region;
+            boolean known = shifted.values().stream().anyMatch(calls -> calls.contains(call.id));
+            if (!known) {
+                shifted.computeIfAbsent(window() + pair, key -> new HashSet<>()).add(call.id);
+            }
+        }
+    }
+
+    private String window() {
+        return time.nanos() / Duration.ofSeconds(10).toNanos() + " ";
+    }
+
     long newRun() {
         return ++nextRun;
     }
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/answer/Traffic.java
@@ -0,0 +1,129 @@
+package org.knapweedhatch.answer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+/** Random arrivals, the same for every system that they are put to, and what became of them. */
+final class Traffic {
+
+    private static final Duration WARM_UP = Duration.ofSeconds(2);
+
+    final FakeWorld world;
+    private final Random random;
+    private final Duration length;
+    private long id;
+
+    Traffic(FakeWorld world, long seed, Duration length) {
+        this.world = world;
+        this.length = length;
+        random = new Random(seed);
+    }
+
+    /** Sends requests of a team at a rate, from regions by weight. */
+    Traffic send(String team, String service, double perSecond, Map<String, Integer> regions, boolean idempotent) {
+        List<String> origins = new ArrayList<>();
+        new TreeMap<>(regions).forEach((region, weight) -> {
+            for (int i = 0; i < weight; i++) {
+                origins.add(region);
+            }
+        });
+        double at = WARM_UP.toNanos();
+        while (true) {
+            at += -Math.log(1 - random.nextDouble()) / perSecond * 1e9;
+            if (at > WARM_UP.plus(length).toNanos()) {
+                return this;
+            }
+            String origin = origins.get(random.nextInt(origins.size()));
+            long start = (long) at;
+            Call call = new Call(++id, service, team, origin, idempotent, Optional.empty(), start);
+            world.at(Duration.ofNanos(start), () -> world.call(call));
+        }
+    }
+
+    /** Sends every team's requests at a sum rate, the first team four times as many as each other one. */
+    Traffic sendAll(String service, double perSecond, Map<String, Integer> regions) {
+        double unit = perSecond / (Deployment.TEAMS + 3);
+        for (int team = 0; team < Deployment.TEAMS; team++) {
+            send("team-" + team, service, team == 0 ? 4 * unit : unit, regions, true);
+        }
+        return this;
+    }
+
+    Traffic run() {
+        world.run(WARM_UP.plus(length).plus(world.timeout).plusSeconds(1));
+        return this;
+    }
+
+    /** Returns the latency in milliseconds below which a share of all requests was well answered. */
+    double quantile(double share) {
+        double[] sorted =
+                world.calls.stream().mapToDouble(this::latency).sorted().toArray();
+        return sorted[(int) Math.min(sorted.length - 1, Math.floor(share * sorted.length))];
+    }
+
+    /** A request that was not answered counts as one that took its whole timeout. */
+    private double latency(Call call) {
+        long nanos = call.good() ? call.end - call.start : world.timeout.toNanos();
+        return nanos / 1e6;
+    }
+
+    /** Returns the good answers per second that reached their callers while requests arrived. */
+    double goodput() {
+        long from = WARM_UP.plusSeconds(1).toNanos();
+        long to = WARM_UP.plus(length).toNanos();
+        long good = world.calls.stream()
+                .filter(call -> call.good() && call.end >= from && call.end < to)
+                .count();
+        return good / ((to - from) / 1e9);
+    }
+
+    double goodShare() {
+        return goodShare(call -> true);
+    }
+
+    double goodShare(Predicate<Call> which) {
+        List<Call> calls = world.calls.stream().filter(which).toList();
+        return calls.stream().filter(Call::good).count() / (double) calls.size();
+    }
+
+    /** Returns the share of well answered requests of the team that fared worst. */
+    double worstTeam() {
+        return world.calls.stream()
+                .map(c -> c.team)
+                .distinct()
+                .mapToDouble(team -> goodShare(c -> c.team.equals(team)))
+                .min()
+                .orElse(0);
+    }
+
+    /** Returns by how many requests a target exceeded its slots at worst; 0 where none did. */
+    int overSlots() {
+        return world.targets.values().stream()
+                .mapToInt(t -> Math.max(0, t.mostRunning - t.target.slots()))
+                .max()
+                .orElse(0);
+    }
+
+    String summary() {
+        Map<String, Long> ends = world.calls.stream()
+                .collect(Collectors.groupingBy(c -> c.outcome + "/" + c.reason, TreeMap::new, Collectors.counting()));
+        return String.format(
+                "n=%d good=%.4f worst=%.4f p50=%.1f p99=%.1f p99.9=%.1f goodput=%.0f over=%d %s",
+                world.calls.size(),
+                goodShare(),
+                worstTeam(),
+                quantile(0.5),
+                quantile(0.99),
+                quantile(0.999),
+                goodput(),
+                overSlots(),
+                ends);
+    }
+}
