--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Callers.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Callers.java
@@ -1,7 +1,6 @@
 package org.knapweedhatch.cli.replay;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,7 +40,7 @@
     private void send(Request request, int tries) {
         String region = request.arrival().region();
         Optional<HostProcess> host =
-                tries < MOST_TRIES ? choose(region, request.arrival().key()) : Optional.empty();
+                tries < MOST_TRIES ? choose(region, request.arrival().key(), tries) : Optional.empty();
         if (host.isEmpty()) {
             stage.answer(request, region + "-a", Outcome.notRun(Outcome.UNREACHABLE));
             return;
@@ -58,7 +57,8 @@
         stage.queue().after(way, () -> chosen.run(() -> chosen.desk().arrive(request)));
     }
 
-    private Optional<HostProcess> choose(String region, String key) {
+    /** Chooses among the hosts of the lowest rank, and after a failed try among all that the answer names. */
+    private Optional<HostProcess> choose(String region, String key, int tries) {
         Place place = new Place(region, key);
         Cached cached = cache.get(place);
         if (cached == null || stage.now() >= cached.untilNanos()) {
@@ -70,13 +70,10 @@
                     answer.get(), stage.now() + answer.get().timeToLive().toNanos());
             cache.put(place, cached);
         }
-        List<Answer.Choice> best = new ArrayList<>();
-        int rank = cached.answer().choices().get(0).rank();
-        for (Answer.Choice choice : cached.answer().choices()) {
-            if (choice.rank() == rank) {
-                best.add(choice);
-            }
-        }
+        List<Answer.Choice> choices = cached.answer().choices();
+        List<Answer.Choice> best = choices.stream()
+                .filter(choice -> tries > 0 || choice.rank() == choices.get(0).rank())
+                .toList();
         return fleet.process(best.get(random.nextInt(best.size())).host().name());
     }
 
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/DeploymentNote.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/DeploymentNote.java
@@ -36,7 +36,7 @@
             case DRAIN_HOST -> note.section("add drain host " + name);
             case DRAIN_DOMAIN -> note.section("add drain domain " + name);
             case DRAIN_REGION -> note.section("add drain region " + name);
-            case END_DRAIN_REGION -> note.section("withdraw drain region " + name);
+            default -> note.section("withdraw drain region " + name);
         }
         return note.text.toString();
     }
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/RealFleet.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/RealFleet.java
@@ -1,5 +1,6 @@
 package org.knapweedhatch.cli.replay;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,6 +19,7 @@
 final class RealFleet implements FleetModel {
 
     private static final String REPLACED = "-r";
+    private static final long TIMEOUT_NANOS = Duration.ofSeconds(5).toNanos();
 
     private final Stage stage;
     private final Decisions decisions;
@@ -102,6 +104,12 @@
     void open(Request request, HostProcess process) {
         open.put(request.id(), request);
         openAt.put(request.id(), process);
+        stage.queue().at(request.nanos() + TIMEOUT_NANOS, () -> giveUp(request));
+    }
+
+    /** Returns whether a caller still waits for a process. */
+    boolean isOpen(Request request, HostProcess process) {
+        return openAt.get(request.id()) == process;
     }
 
     /** Gives a caller the outcome of its request; a caller that has gone gets none. */
@@ -113,7 +121,7 @@
     }
 
     /** Ends the wait of a caller whose host does not answer in time. */
-    void giveUp(Request request) {
+    private void giveUp(Request request) {
         HostProcess process = openAt.get(request.id());
         if (process != null) {
             answer(request, process, Outcome.unknown(Outcome.LOST));
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/RequestDesk.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/RequestDesk.java
@@ -54,10 +54,11 @@
         stage = fleet.stage();
     }
 
-    /** Takes a request of a caller. */
+    /** Takes a request of a caller that still waits. */
     void arrive(Request request) {
-        long deadline = request.nanos() + TIMEOUT_NANOS;
-        stage.queue().at(deadline, () -> fleet.giveUp(request));
+        if (!fleet.isOpen(request, process)) {
+            return;
+        }
         if (!parts.isReady()) {
             fleet.answer(request, process, Outcome.notRun(Outcome.UNREACHABLE));
             return;
@@ -197,7 +198,7 @@
             }
             case SHED -> on(new Event.SaidNotRun(number, attempt));
             case UNREACHABLE -> on(new Event.ConnectFailed(number, attempt));
-            case LOST -> on(new Event.ConnectionLost(number, attempt));
+            default -> on(new Event.ConnectionLost(number, attempt));
         }
     }
 
@@ -276,7 +277,7 @@
             switch (outcome.kind()) {
                 case ANSWERED -> answered(relay.request(), relay.attempt(), outcome.answerOf());
                 case NOT_RUN -> on(new Event.SaidNotRun(relay.request(), relay.attempt()));
-                case UNKNOWN -> on(new Event.SaidUnknown(relay.request(), relay.attempt()));
+                default -> on(new Event.SaidUnknown(relay.request(), relay.attempt()));
             }
         });
     }
