--- a/cli/src/main/java/org/knapweedhatch/cli/Commands.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/Commands.java
@@ -4,6 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.knapweedhatch.cli.bench.BenchCommand;
+import org.knapweedhatch.cli.replay.ReplayCommand;
+import org.knapweedhatch.cli.replay.TraceCommand;
+import org.knapweedhatch.cli.timeline.TimelineCommand;
 
 /** All commands of the tool. */
 final class Commands {
@@ -16,7 +20,11 @@
             KeyGiveCommand::new,
             KeyWithdrawCommand::new,
             HostsCommand::new,
-            LookupCommand::new);
+            LookupCommand::new,
+            TimelineCommand::new,
+            ReplayCommand::new,
+            TraceCommand::new,
+            BenchCommand::new);
 
     private Commands() {}
 
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Finding.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Finding.java
@@ -5,10 +5,10 @@
 import org.knapweedhatch.cli.replay.trace.TraceLine;
 
 /** What a replay of one fleet found. */
-record Finding(String fleet, TraceLine.Header header, Breaches breaches, Tally tally, Recorder recorder) {
+public record Finding(String fleet, TraceLine.Header header, Breaches breaches, Tally tally, Recorder recorder) {
 
     /** Returns whether every promise held. */
-    boolean isClean() {
+    public boolean isClean() {
         return breaches.counts().isEmpty();
     }
 }
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Fleets.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Fleets.java
@@ -4,12 +4,12 @@
 import org.knapweedhatch.cli.replay.trace.Trace;
 
 /** The fleets that every trace is replayed through. */
-final class Fleets {
+public final class Fleets {
 
     private Fleets() {}
 
     /** Returns what each fleet made of a trace, the one under test first. */
-    static List<Finding> replayAll(Trace trace) {
+    public static List<Finding> replayAll(Trace trace) {
         return List.of(Replay.of(trace).run(RealFleet::new), Replay.of(trace).run(Naive::new));
     }
 }
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/ReplayCommand.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/ReplayCommand.java
@@ -1,60 +1,52 @@
 package org.knapweedhatch.cli.replay;
 
-import java.io.PrintStream;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.knapweedhatch.cli.Command;
+import org.knapweedhatch.cli.ExitCode;
+import org.knapweedhatch.cli.Session;
 import org.knapweedhatch.cli.replay.trace.Trace;
 import org.knapweedhatch.cli.replay.trace.TraceReader;
 import org.knapweedhatch.fault.Result;
 import org.kohsuke.args4j.Argument;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
-import org.kohsuke.args4j.Option;
 
-/** The command {@code replay}: plays traces through the real decisions and a naive fleet, side by side. */
-public final class ReplayCommand {
+/** Replays traces through the decisions of a fleet and through a naive fleet, side by side. */
+public final class ReplayCommand implements Command {
 
-    /** Every promise held. */
-    public static final int OK = 0;
-
-    /** A promise was broken, or a stated outcome was missed. */
-    public static final int BROKEN = 1;
-
-    /** The arguments or a trace could not be understood. */
-    public static final int USAGE = 2;
-
-    @Argument(metaVar = "TRACE", usage = "trace files to replay", required = true, multiValued = true)
+    @Argument(metaVar = "TRACE", usage = "trace files to replay", required = true)
     private List<Path> files = new ArrayList<>();
 
-    @Option(name = "--json", usage = "print the report as JSON, one line per trace")
-    private boolean json;
+    @Override
+    public String name() {
+        return "replay";
+    }
 
-    /** Runs the command and returns its exit code. */
-    public int run(String[] args, PrintStream out) {
-        CmdLineParser parser = new CmdLineParser(this);
-        try {
-            parser.parseArgument(args);
-        } catch (CmdLineException e) {
-            out.println("replay: " + e.getMessage());
-            return USAGE;
-        }
-        int worst = OK;
-        for (Path file : files) {
-            worst = Math.max(worst, replay(file, out));
-        }
-        return worst;
+    @Override
+    public String summary() {
+        return "Replays traces, checks every promise, and sets a naive fleet beside; fails where a promise broke.";
     }
 
-    private int replay(Path file, PrintStream out) {
-        Result<Trace> trace = TraceReader.read(file);
-        if (!trace.isOk()) {
-            out.println("replay: " + trace.fault());
-            return USAGE;
+    @Override
+    public ExitCode run(Session session) {
+        ArrayNode reports = new JsonMapper().createArrayNode();
+        List<String> lines = new ArrayList<>();
+        boolean clean = true;
+        for (Path file : files) {
+            Result<Trace> trace = TraceReader.read(file);
+            if (!trace.isOk()) {
+                session.complain(trace.fault().toString());
+                return ExitCode.USAGE;
+            }
+            List<Finding> findings = Fleets.replayAll(trace.orThrow());
+            Report report = Report.of(findings);
+            reports.add(report.json());
+            report.text().lines().forEach(lines::add);
+            clean &= findings.get(0).isClean();
         }
-        List<Finding> findings = Fleets.replayAll(trace.orThrow());
-        Report report = Report.of(findings);
-        out.println(json ? report.json() : report.text());
-        return findings.get(0).isClean() ? OK : BROKEN;
+        session.print(reports, lines);
+        return clean ? ExitCode.OK : ExitCode.FAILED;
     }
 }
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/TraceCommand.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/TraceCommand.java
@@ -1,56 +1,74 @@
 package org.knapweedhatch.cli.replay;
 
-import java.io.PrintStream;
-import java.util.Arrays;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.List;
 import java.util.Locale;
-import java.util.stream.Collectors;
+import org.knapweedhatch.cli.Command;
+import org.knapweedhatch.cli.ExitCode;
+import org.knapweedhatch.cli.Session;
 import org.knapweedhatch.cli.replay.trace.Deployment;
 import org.knapweedhatch.cli.replay.trace.Scenario;
 import org.kohsuke.args4j.Argument;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
-/** The command {@code trace}: writes a generated trace of one kind. */
-public final class TraceCommand {
+/** Writes a generated trace of one kind. */
+public final class TraceCommand implements Command {
 
-    @Argument(metaVar = "KIND", usage = "kind of trace, such as ordinary-day", required = true)
+    @Argument(metaVar = "KIND", usage = "kind of trace, such as ordinary-day; list shows all", required = true)
     private String kind;
 
-    @Option(name = "--deployment", usage = "agency or rafaga")
+    @Option(name = "--deployment", metaVar = "NAME", usage = "agency or rafaga")
     private String deployment = "agency";
 
-    @Option(name = "--seed", usage = "seed of the trace")
+    @Option(name = "--seed", metaVar = "N", usage = "seed of the trace")
     private long seed = 1;
 
-    @Option(name = "--seconds", usage = "length of the trace")
+    @Option(name = "--seconds", metaVar = "N", usage = "length of the trace")
     private long seconds = 60;
 
-    @Option(name = "--scale", usage = "factor on the load")
+    @Option(name = "--scale", metaVar = "X", usage = "factor on the load")
     private double scale = 1;
 
-    /** Runs the command and returns its exit code. */
-    public int run(String[] args, PrintStream out) {
-        CmdLineParser parser = new CmdLineParser(this);
+    @Override
+    public String name() {
+        return "trace";
+    }
+
+    @Override
+    public String summary() {
+        return "Writes a generated trace of one kind to the standard output.";
+    }
+
+    @Override
+    public ExitCode run(Session session) {
+        if (kind.equals("list")) {
+            List<String> kinds =
+                    List.of(Scenario.values()).stream().map(TraceCommand::lower).toList();
+            session.print(new JsonMapper().valueToTree(kinds), kinds);
+            return ExitCode.OK;
+        }
+        if (seconds < 1 || seed < 0 || !(scale > 0)) {
+            session.complain("--seconds and --scale must be above zero, --seed not below");
+            return ExitCode.USAGE;
+        }
         try {
-            parser.parseArgument(args);
             Scenario scenario = Scenario.valueOf(upper(kind));
             Deployment chosen = Deployment.valueOf(upper(deployment));
-            if (seconds < 1 || seed < 0 || !(scale > 0)) {
-                throw new IllegalArgumentException("seconds and scale must be above zero, seed not below");
-            }
-            scenario.trace(chosen, seed, seconds, scale).write(out);
-            return ReplayCommand.OK;
-        } catch (CmdLineException | IllegalArgumentException e) {
-            out.println("trace: " + e.getMessage());
-            out.println("kinds: "
-                    + Arrays.stream(Scenario.values())
-                            .map(s -> s.name().toLowerCase(Locale.ROOT).replace('_', '-'))
-                            .collect(Collectors.joining(", ")));
-            return ReplayCommand.USAGE;
+            StringBuilder text = new StringBuilder();
+            scenario.trace(chosen, seed, seconds, scale).write(text);
+            List<String> lines = text.toString().lines().toList();
+            session.print(new JsonMapper().valueToTree(lines), lines);
+            return ExitCode.OK;
+        } catch (IllegalArgumentException e) {
+            session.complain("no such kind or deployment: " + kind + ", " + deployment);
+            return ExitCode.USAGE;
         }
     }
 
+    private static String lower(Scenario scenario) {
+        return scenario.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
     private static String upper(String name) {
         return name.toUpperCase(Locale.ROOT).replace('-', '_');
     }
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/trace/Scenario.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/trace/Scenario.java
@@ -8,28 +8,42 @@
     ORDINARY_DAY {
         @Override
         void play(ScenarioBuilder on) {
-            on.everyTeam(0.5);
+            on.everyTeam(0.5)
+                    .atMost(Measure.REFUSED_WITHIN_RATE_SHARE, "", 0.001)
+                    .atMost(Measure.UNKNOWN, "", 0);
         }
     },
     /** One region sends most of the traffic, in bursts over the rates. */
     RUSH {
         @Override
         void play(ScenarioBuilder on) {
-            on.everyTeam(0.4).rush(0, 0.5, 0.3, 0.3);
+            on.everyTeam(0.4)
+                    .rush(0, 0.5, 0.3, 0.3)
+                    .atMost(Measure.REFUSED_WITHIN_RATE_SHARE, "", 0.01)
+                    .atMost(Measure.UNKNOWN, "", 0);
         }
     },
     /** One team sends five times its rate beside the others. */
     NOISY_TEAM {
         @Override
         void play(ScenarioBuilder on) {
-            on.everyTeam(0.5).noisy("team-4", 4.5);
+            on.everyTeam(0.5)
+                    .noisy("team-4", 4.5)
+                    .atMost(Measure.REFUSED_WITHIN_RATE_SHARE, "team-1", 0)
+                    .atMost(Measure.REFUSED_WITHIN_RATE_SHARE, "team-5", 0)
+                    .atMost(Measure.REFUSED_WITHIN_RATE_SHARE, "team-7", 0);
         }
     },
     /** A region is drained as planned. */
     REGION_DRAIN {
         @Override
         void play(ScenarioBuilder on) {
-            on.everyTeam(0.3).release(0.4, "operator-1", Change.of(Change.Action.DRAIN_REGION, on.region(1)));
+            on.everyTeam(0.3)
+                    .release(0.4, "operator-1", Change.of(Change.Action.DRAIN_REGION, on.region(1)))
+                    .atMost(Measure.REFUSED_WITHIN_RATE_SHARE, "", 0)
+                    .atMost(Measure.UNKNOWN, "", 0)
+                    .atMost(Measure.DRAIN_MS, "", 8000)
+                    .atLeast(Measure.CONFIGURATION, "", 2);
         }
     },
     /** A region fails whole and comes back. */
@@ -43,7 +57,9 @@
     PARTITION {
         @Override
         void play(ScenarioBuilder on) {
-            on.everyTeam(0.3).fault(0.1, 0.8, FaultKind.DOMAIN_CUT, on.domain(1));
+            on.everyTeam(0.3)
+                    .fault(0.1, 0.8, FaultKind.DOMAIN_CUT, on.domain(1))
+                    .atMost(Measure.REFUSED_WITHIN_RATE_SHARE, "", 0.001);
         }
     },
     /** The platform is down, then loses answers. */
@@ -69,7 +85,10 @@
     KEY_WITHDRAWN {
         @Override
         void play(ScenarioBuilder on) {
-            on.everyTeam(0.5).release(0.5, "operator-1", Change.of(Change.Action.WITHDRAW_KEY, "key-team-2"));
+            on.everyTeam(0.5)
+                    .release(0.5, "operator-1", Change.of(Change.Action.WITHDRAW_KEY, "key-team-2"))
+                    .atMost(Measure.REFUSED_WITHIN_RATE_SHARE, "", 0.001)
+                    .atLeast(Measure.CONFIGURATION, "", 2);
         }
     },
     /** Two operators send conflicting notes at the same moment. */
@@ -78,7 +97,9 @@
         void play(ScenarioBuilder on) {
             on.everyTeam(0.4)
                     .release(0.5, "operator-1", new Change(Change.Action.CHANGE_TEAM, "team-1", 500, 200))
-                    .release(0.5, "operator-2", new Change(Change.Action.CHANGE_TEAM, "team-1", 400, 100));
+                    .release(0.5, "operator-2", new Change(Change.Action.CHANGE_TEAM, "team-1", 400, 100))
+                    .atLeast(Measure.CONFIGURATION, "", 2)
+                    .atMost(Measure.CONFIGURATION, "", 2);
         }
     },
     /** The platform is down while a host dies and is replaced. */
@@ -112,7 +133,10 @@
         void play(ScenarioBuilder on) {
             on.everyTeam(0.3)
                     .fault(0.3, 0.4, FaultKind.PLATFORM_LOSES_ANSWERS, "")
-                    .release(0.4, "operator-1", Change.of(Change.Action.DRAIN_REGION, on.region(1)));
+                    .release(0.4, "operator-1", Change.of(Change.Action.DRAIN_REGION, on.region(1)))
+                    .atMost(Measure.UNKNOWN, "", 0)
+                    .atMost(Measure.DRAIN_MS, "", 8000)
+                    .atLeast(Measure.CONFIGURATION, "", 2);
         }
     },
     /** A key is withdrawn while a host stands still, which wakes later. */
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/trace/ScenarioBuilder.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/trace/ScenarioBuilder.java
@@ -12,6 +12,8 @@
     private static final double MICROS_PER_SECOND = 1e6;
     private static final double HOME_SHARE = 0.6;
     private static final long WORK_MICROS = 30_000;
+    private static final int WRITING_SERVICE = 1;
+    private static final int LARGE_SERVICE = 2;
     private static final long SMALL_BODY = 2_000;
     private static final long LARGE_BODY = 200_000;
 
@@ -21,6 +23,7 @@
     private final double length;
     private final double scale;
     private final List<TraceLine> lines = new ArrayList<>();
+    private final List<TraceLine.Expectation> expectations = new ArrayList<>();
 
     ScenarioBuilder(Scenario scenario, Deployment deployment, long seed, long seconds, double scale) {
         this.scenario = scenario;
@@ -87,27 +90,49 @@
         Trace.Builder trace = Trace.builder();
         trace.header(new TraceLine.Header(name, deployment, seed, micros(1)));
         lines.forEach(trace::line);
+        expectations.forEach(trace::expectation);
         return trace.build();
     }
 
+    /** Adds the requests of a team: a large one uses every service, a small one uses one. */
     private void everyService(String team, String region, double perSecond, double from, double lasting) {
+        int number = deployment.teams().indexOf(team);
         int services = deployment.services().size();
+        if (number >= deployment.largeTeams()) {
+            load(team, region, number % services, perSecond, from, lasting);
+            return;
+        }
         for (int i = 0; i < services; i++) {
-            boolean writes = i == 1;
-            TraceLine.Arrival request = new TraceLine.Arrival(
-                    micros(from),
-                    Deployment.keyOf(team),
-                    deployment.services().get(i),
-                    region,
-                    !writes,
-                    SMALL_BODY,
-                    i == 2 ? LARGE_BODY : SMALL_BODY,
-                    WORK_MICROS,
-                    "");
-            lines.add(new TraceLine.Load(micros(from), micros(lasting), perSecond * scale / services, request));
+            load(team, region, i, perSecond / services, from, lasting);
         }
     }
 
+    private void load(String team, String region, int service, double perSecond, double from, double lasting) {
+        TraceLine.Arrival request = new TraceLine.Arrival(
+                micros(from),
+                Deployment.keyOf(team),
+                deployment.services().get(service),
+                region,
+                service != WRITING_SERVICE,
+                SMALL_BODY,
+                service == LARGE_SERVICE ? LARGE_BODY : SMALL_BODY,
+                WORK_MICROS,
+                "");
+        lines.add(new TraceLine.Load(micros(from), micros(lasting), perSecond * scale, request));
+    }
+
+    /** States that a measure is at most a value. */
+    ScenarioBuilder atMost(Measure measure, String subject, double value) {
+        expectations.add(new TraceLine.Expectation(measure, subject, 0, value));
+        return this;
+    }
+
+    /** States that a measure is at least a value. */
+    ScenarioBuilder atLeast(Measure measure, String subject, double value) {
+        expectations.add(new TraceLine.Expectation(measure, subject, value, Double.MAX_VALUE));
+        return this;
+    }
+
     private double rate(String name) {
         Team team = deployment.configuration().teams().get(name);
         return team.contract().rate();
--- /dev/null
+++ b/cli/src/main/java/org/knapweedhatch/cli/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** The command that shows the time line of all hosts. */
+package org.knapweedhatch.cli.timeline;
