--- a/benchmarks/src/main/java/org/knapweedhatch/benchmarks/ReleaseScale.java
+++ b/benchmarks/src/main/java/org/knapweedhatch/benchmarks/ReleaseScale.java
@@ -24,6 +24,7 @@
     private static final int BLOCKS_PER_NOTE = 46_000;
     private static final int ROUNDS = 12;
     private static final double NANOS_PER_MILLI = 1e6;
+    private static final double BYTES_PER_MEGABYTE = 1e6;
 
     private final MemoryPlatform platform = MemoryPlatform.create();
     private final ReleaseStore store = ReleaseStore.over(platform, pause -> {});
@@ -34,7 +35,7 @@
 
     /** Runs with 23,000 and 230,000 blocks. */
     public static void main(String[] args) {
-        System.out.println("blocks   accept ms   follow ms  pieces  bytes fetched  first ms  first bytes");
+        System.out.println("blocks   accept ms   follow ms  pieces  bytes fetched  first ms  first bytes  held MB");
         for (int blocks : new int[] {23_000, 230_000}) {
             new ReleaseScale().run(blocks);
         }
@@ -42,7 +43,9 @@
 
     private void run(int blocks) {
         fill(blocks);
+        long usedBefore = usedBytes();
         Fetched first = timed(this::follow);
+        long held = usedBytes() - usedBefore + first.bytes();
         List<Long> accepts = new ArrayList<>();
         List<Fetched> follows = new ArrayList<>();
         for (int round = 0; round < ROUNDS; round++) {
@@ -61,14 +64,22 @@
         Fetched middle = follows.get(ROUNDS / 2);
         System.out.printf(
                 Locale.ROOT,
-                "%6d %11.1f %11.1f %7d %14d %9.1f %12d%n",
+                "%6d %11.1f %11.1f %7d %14d %9.1f %12d %8.1f%n",
                 blocks,
                 accepts.get(ROUNDS / 2) / NANOS_PER_MILLI,
                 middle.nanos() / NANOS_PER_MILLI,
                 middle.pieces(),
                 middle.bytes(),
                 first.nanos() / NANOS_PER_MILLI,
-                first.bytes());
+                first.bytes(),
+                held / BYTES_PER_MEGABYTE);
+    }
+
+    /** Returns the heap in use; the bytes of pieces are shared with the platform in this process. */
+    private static long usedBytes() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
     }
 
     private record Fetched(long nanos, long pieces, long bytes) {}
