Drive requests on sockets by the decisions of the answer room

Cause: the edge chose targets by itself. Two faults were found on the way: an answer invented by the server when a body's callback returned (an empty 200), and a slot kept until the deadline after every answer, since the exchange completes inside the last flush. Conclusion: retries, claims, deadlines and limits act on real connections.

--- a/core/src/main/java/org/knapweedhatch/answer/RetryBudget.java
+++ b/core/src/main/java/org/knapweedhatch/answer/RetryBudget.java
@@ -13,8 +13,9 @@
 
     private static final int PER_RETRY = 10;
     private static final int MOST_SAVED = 20;
+    private static final int SAVED_AT_START = 10;
 
-    private int credit;
+    private int credit = SAVED_AT_START * PER_RETRY;
 
     /** Counts a first dispatch. */
     void dispatched() {
--- a/daemon/src/main/java/org/knapweedhatch/edge/Attempt.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/Attempt.java
@@ -10,7 +10,9 @@
 import io.undertow.util.Methods;
 import io.undertow.util.Protocols;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Optional;
 import org.knapweedhatch.fault.Fault;
 import org.knapweedhatch.fault.Step;
 import org.knapweedhatch.message.HeaderNames;
@@ -29,7 +31,10 @@
         /** No connection could be had; nothing was written. */
         void notConnected(Fault fault);
 
-        /** The head of an answer is here; {@link Attempt#deliver} or {@link Attempt#cancel} must follow. */
+        /**
+         * An answer is here: its head, and its whole body where that is small enough to be held.
+         * {@link Attempt#deliver} or {@link Attempt#cancel} must follow.
+         */
         void answered(ClientResponse answer);
 
         /** The request may have been written and no answer will come. */
@@ -39,9 +44,13 @@
         void callerFailed();
     }
 
+    private static final int SMALL_BYTES = 16 * 1024;
+    private static final int MAX_LENGTH_DIGITS = 18;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
     private final HttpServerExchange caller;
-    private final Connections connections;
-    private final Head head;
+    private final Outbound outbound;
     private final Body body;
     private final Listener listener;
 
@@ -50,52 +59,52 @@
     private boolean requestSent;
     private boolean answerRead;
     private boolean over;
+    private Optional<byte[]> small = Optional.empty();
 
-    private Attempt(HttpServerExchange caller, Connections connections, Head head, Body body, Listener listener) {
+    private Attempt(HttpServerExchange caller, Outbound outbound, Body body, Listener listener) {
         this.caller = caller;
-        this.connections = connections;
-        this.head = head;
+        this.outbound = outbound;
         this.body = body;
         this.listener = listener;
     }
 
-    /** Starts an attempt; must be called on the I/O thread of the caller's connection. */
-    static Attempt start(HttpServerExchange caller, Connections connections, Head head, Body body, Listener listener) {
-        Attempt attempt = new Attempt(caller, connections, head, body, listener);
-        attempt.connect();
-        return attempt;
+    /** Creates an attempt that has not begun. */
+    static Attempt of(HttpServerExchange caller, Outbound outbound, Body body, Listener listener) {
+        return new Attempt(caller, outbound, body, listener);
     }
 
-    private void connect() {
-        connections.acquire(caller.getIoThread(), caller.getConnection().getByteBufferPool(), new ClientCallback<>() {
-            @Override
-            public void completed(ClientConnection opened) {
-                connected(opened);
-            }
+    /** Begins; must be called on the I/O thread of the caller's connection. */
+    void begin() {
+        outbound.connections()
+                .acquire(caller.getIoThread(), caller.getConnection().getByteBufferPool(), new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientConnection opened) {
+                        connected(opened);
+                    }
 
-            @Override
-            public void failed(IOException e) {
-                if (!over) {
-                    over = true;
-                    listener.notConnected(fault(Step.CONNECT, e));
-                }
-            }
-        });
+                    @Override
+                    public void failed(IOException e) {
+                        if (!over) {
+                            over = true;
+                            listener.notConnected(fault(Step.CONNECT, e));
+                        }
+                    }
+                });
     }
 
     private void connected(ClientConnection opened) {
         if (over) {
-            connections.release(opened);
+            outbound.connections().release(opened);
             return;
         }
         connection = opened;
         ClientRequest request = new ClientRequest()
-                .setMethod(head.method())
-                .setPath(head.path())
+                .setMethod(outbound.method())
+                .setPath(outbound.path())
                 .setProtocol(Protocols.HTTP_1_1);
         request.getRequestHeaders()
-                .putAll(Headers.HOST, List.of(connections.address().toString()));
-        head.headers().forEach(header -> request.getRequestHeaders().putAll(header.getHeaderName(), header));
+                .putAll(Headers.HOST, List.of(outbound.connections().address().toString()));
+        outbound.headers().forEach(header -> request.getRequestHeaders().putAll(header.getHeaderName(), header));
         opened.sendRequest(request, new ClientCallback<>() {
             @Override
             public void completed(ClientExchange begun) {
@@ -146,26 +155,76 @@
             lose(Step.RECEIVE, new IOException("the answer belongs to another request"));
         } else if (!isDelimited(answer)) {
             lose(Step.RECEIVE, new IOException("the answer's end cannot be told"));
+        } else if (smallLength(answer) >= 0) {
+            collect(answer, ByteBuffer.allocate(smallLength(answer)));
         } else {
             listener.answered(answer);
         }
     }
 
+    /** Returns the length of an answer that is small enough to be held, or -1. */
+    private int smallLength(ClientResponse answer) {
+        if (isBodiless(answer)) {
+            return 0;
+        }
+        String length = answer.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH);
+        if (length == null
+                || length.length() > MAX_LENGTH_DIGITS
+                || answer.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)) {
+            return -1;
+        }
+        long bytes = Long.parseLong(length.trim());
+        return bytes <= SMALL_BYTES ? (int) bytes : -1;
+    }
+
+    private void collect(ClientResponse answer, ByteBuffer held) {
+        Pipe.collect(
+                exchange.getResponseChannel(),
+                held,
+                () -> {
+                    if (!over) {
+                        small = Optional.of(held.array());
+                        answerRead = true;
+                        releaseIfClean();
+                        listener.answered(answer);
+                    }
+                },
+                readFailure -> lose(Step.RECEIVE, readFailure));
+    }
+
     private boolean isOwn(ClientResponse answer) {
         String echoed = answer.getResponseHeaders().getFirst(HeaderNames.REQUEST_ID);
-        return echoed == null || echoed.equals(head.headers().getFirst(HeaderNames.REQUEST_ID));
+        return echoed == null || echoed.equals(outbound.headers().getFirst(HeaderNames.REQUEST_ID));
     }
 
     private boolean isDelimited(ClientResponse answer) {
-        int status = answer.getResponseCode();
-        boolean bodiless = head.method().equals(Methods.HEAD) || status == 204 || status == 304;
-        return bodiless
+        return isBodiless(answer)
                 || answer.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
                 || answer.getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
     }
 
-    /** Streams the answer's body to the caller; a body that breaks off breaks the caller's answer too. */
+    private boolean isBodiless(ClientResponse answer) {
+        int status = answer.getResponseCode();
+        return outbound.method().equals(Methods.HEAD) || status == NO_CONTENT || status == NOT_MODIFIED;
+    }
+
+    /** Returns whether the whole answer has been read, so that the request runs no longer. */
+    boolean isAnswerRead() {
+        return answerRead;
+    }
+
+    /** Returns the whole body, where the answer is small enough to be held. */
+    Optional<byte[]> heldBody() {
+        return small;
+    }
+
+    /** Passes the answer's body on to the caller; a body that breaks off runs {@code broken}. */
     void deliver(Runnable delivered, Runnable broken) {
+        if (small.isPresent()) {
+            Pipe.send(
+                    caller.getResponseChannel(), ByteBuffer.wrap(small.get()), delivered, writeFailure -> broken.run());
+            return;
+        }
         Pipe.stream(
                 exchange.getResponseChannel(),
                 caller.getResponseChannel(),
@@ -173,8 +232,8 @@
                 () -> {
                     answerRead = true;
                     releaseIfClean();
-                    delivered.run();
                 },
+                delivered,
                 readFailure -> {
                     cancel();
                     broken.run();
@@ -188,14 +247,16 @@
     private void releaseIfClean() {
         if (requestSent && answerRead && !over) {
             over = true;
-            connections.release(connection);
+            outbound.connections().release(connection);
         }
     }
 
-    /** Gives the attempt up; a connection that carries it is closed, so that the other side sees the cancellation. */
+    /** Gives the attempt up; a connection that still carries it is closed, so that the other side sees that. */
     void cancel() {
-        over = true;
-        IoUtils.safeClose(connection);
+        if (!over) {
+            over = true;
+            IoUtils.safeClose(connection);
+        }
     }
 
     private void lose(Step step, IOException e) {
@@ -207,6 +268,6 @@
 
     private Fault fault(Step step, IOException e) {
         String detail = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
-        return Fault.at(step, connections.address().toString(), detail);
+        return Fault.at(step, outbound.connections().address().toString(), detail);
     }
 }
--- a/daemon/src/main/java/org/knapweedhatch/edge/Body.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/Body.java
@@ -50,7 +50,7 @@
         public void sendTo(
                 StreamSinkChannel sink, Runnable done, Consumer<IOException> readFailed, Consumer<IOException> failed) {
             begun = true;
-            Pipe.stream(exchange.getRequestChannel(), sink, buffers, done, readFailed, failed);
+            Pipe.stream(exchange.getRequestChannel(), sink, buffers, () -> {}, done, readFailed, failed);
         }
     }
 }
--- a/daemon/src/main/java/org/knapweedhatch/edge/Head.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/Outbound.java
@@ -5,14 +5,16 @@
 import org.knapweedhatch.helper.Validate;
 
 /**
- * The head of a request as it leaves this host.
+ * A request as it leaves this host.
  *
+ * @param connections pool of connections to where it goes
  * @param method HTTP method
  * @param path path with its query, as the caller sent it
  * @param headers headers that may leave this host
  */
-record Head(HttpString method, String path, HeaderMap headers) {
-    Head {
+record Outbound(Connections connections, HttpString method, String path, HeaderMap headers) {
+    Outbound {
+        Validate.notNull(connections, "connections");
         Validate.notNull(method, "method");
         Validate.notEmpty(path, "path");
         Validate.notNull(headers, "headers");
