--- a/core/src/main/java/org/knapweedhatch/member/Member.java
+++ b/core/src/main/java/org/knapweedhatch/member/Member.java
@@ -9,7 +9,7 @@
  * @param host the host
  * @param incarnation number of the process at that host's name; a later process has a higher one
  * @param state what is known of it
- * @param configuration number of the configuration it has in force
+ * @param configuration number of the configuration it serves under; 0 while it is not ready to serve
  * @param load its latest load summary
  */
 public record Member(Host host, long incarnation, MemberState state, long configuration, Load load) {
@@ -19,6 +19,11 @@
         Validate.notNull(load, "load");
     }
 
+    /** Returns whether new work may be given to it: it lives, stays, and has a configuration in force. */
+    public boolean takesWork() {
+        return state.takesWork() && configuration > 0;
+    }
+
     /** Returns the name of the host. */
     public String name() {
         return host.name();
--- a/core/src/main/java/org/knapweedhatch/steer/LookUp.java
+++ b/core/src/main/java/org/knapweedhatch/steer/LookUp.java
@@ -52,7 +52,7 @@
         this.distances = distances;
         ownRegion = view.member(view.self()).map(m -> m.host().region()).orElse("");
         for (Member member : view.members().values()) {
-            if (member.state().takesWork() && !configuration.draining(member.host())) {
+            if (member.takesWork() && !configuration.draining(member.host())) {
                 hostsByRegion
                         .computeIfAbsent(member.host().region(), r -> new ArrayList<>())
                         .add(member.host());
--- a/core/src/main/java/org/knapweedhatch/steer/RosterKeeper.java
+++ b/core/src/main/java/org/knapweedhatch/steer/RosterKeeper.java
@@ -18,8 +18,9 @@
 /**
  * Proposes changes of the roster: who joins, who becomes inactive or active again, who is gone.
  *
- * <p>A host changes the standing of others only inside its own region, and only while it hears a majority of that
- * region. A silent host is removed only once the platform's host list has not named it for {@link #GONE_AFTER}.
+ * <p>Only a host itself makes itself active. A host changes the standing of others only inside its own region, and only
+ * while it hears a majority of that region. A silent host is removed only once the platform's host list has not named
+ * it for {@link #GONE_AFTER}.
  *
  * <pre>{@code
  * keeper.read(roster, object.version());
@@ -41,6 +42,7 @@
     private final Host self;
     private final long incarnation;
     private final TimeSource time;
+    private final long activeFrom;
     private final Map<String, Long> unheardSince = new HashMap<>();
     private final Map<String, Long> unlistedSince = new HashMap<>();
     private Roster roster;
@@ -51,18 +53,22 @@
     private long wantedSince = NEVER;
     private long quietUntil;
 
-    private RosterKeeper(Host self, long incarnation, TimeSource time) {
+    private RosterKeeper(Host self, long incarnation, Duration activeAfter, TimeSource time) {
         this.self = Validate.notNull(self, "self");
         this.incarnation = incarnation;
         this.time = Validate.notNull(time, "time");
         view = View.of(self.name(), List.of());
         roster = Roster.of(0, 0, List.of());
         quietUntil = time.nanos();
+        activeFrom = time.nanos() + activeAfter.toNanos();
     }
 
-    /** Creates the keeper of a process. */
-    public static RosterKeeper of(Host self, long incarnation, TimeSource time) {
-        return new RosterKeeper(self, incarnation, time);
+    /**
+     * Creates the keeper of a process; it stays inactive for {@code activeAfter}, until requests of an earlier process
+     * at its name have ended at their targets.
+     */
+    public static RosterKeeper of(Host self, long incarnation, Duration activeAfter, TimeSource time) {
+        return new RosterKeeper(self, incarnation, activeAfter, time);
     }
 
     /** Takes the roster as it was read, with the version of its object; an older one changes nothing. */
@@ -128,7 +134,7 @@
             return Optional.empty();
         }
         Map<String, Roster.Entry> next = new HashMap<>(roster.entries());
-        boolean own = changeSelf(next);
+        boolean own = changeSelf(next, now);
         changeOthers(next, now);
         if (next.equals(roster.entries())) {
             wantedSince = NEVER;
@@ -141,21 +147,22 @@
         return Optional.of(new RosterProposal(version, roster.next(next.values())));
     }
 
-    private boolean changeSelf(Map<String, Roster.Entry> next) {
+    private boolean changeSelf(Map<String, Roster.Entry> next, long now) {
         Roster.Entry entry = next.get(self.name());
         boolean known = entry != null && entry.incarnation() >= incarnation;
         if (known && entry.incarnation() > incarnation || !known && leaving) {
             return false;
         }
         if (!known) {
-            next.put(self.name(), entry(self, incarnation, true));
+            next.put(self.name(), entry(self, incarnation, false));
             return true;
         }
-        if (entry.active() == leaving && (leaving || hearsMajority())) {
-            next.put(self.name(), entry(self, incarnation, !leaving));
-            return true;
+        boolean wantsActive = !leaving && now >= activeFrom;
+        boolean mayChange = entry.active() ? leaving : wantsActive && hearsMajority();
+        if (mayChange) {
+            next.put(self.name(), entry(self, incarnation, wantsActive));
         }
-        return false;
+        return mayChange;
     }
 
     private void changeOthers(Map<String, Roster.Entry> next, long now) {
@@ -175,7 +182,7 @@
     private static void join(Map<String, Roster.Entry> next, Member member) {
         Roster.Entry entry = next.get(member.name());
         if (entry == null || entry.incarnation() < member.incarnation()) {
-            next.put(member.name(), entry(member.host(), member.incarnation(), true));
+            next.put(member.name(), entry(member.host(), member.incarnation(), false));
         }
     }
 
@@ -190,9 +197,7 @@
         if (unheard >= goneAfter && unlisted >= goneAfter) {
             next.remove(entry.host());
         } else if (entry.active() && unheard >= SETTLE_NANOS) {
-            next.put(entry.host(), withActive(entry, false));
-        } else if (!entry.active() && isAlive(entry.host())) {
-            next.put(entry.host(), withActive(entry, true));
+            next.put(entry.host(), inactive(entry));
         }
     }
 
@@ -225,7 +230,7 @@
         return new Roster.Entry(host.name(), host.region(), host.domain(), incarnation, active);
     }
 
-    private static Roster.Entry withActive(Roster.Entry entry, boolean active) {
-        return new Roster.Entry(entry.host(), entry.region(), entry.domain(), entry.incarnation(), active);
+    private static Roster.Entry inactive(Roster.Entry entry) {
+        return new Roster.Entry(entry.host(), entry.region(), entry.domain(), entry.incarnation(), false);
     }
 }
--- a/core/src/main/java/org/knapweedhatch/steer/Steering.java
+++ b/core/src/main/java/org/knapweedhatch/steer/Steering.java
@@ -57,7 +57,7 @@
     /** Takes a view of the hosts in; only living hosts that do not leave get requests. */
     public synchronized void view(View view) {
         others = view.members().values().stream()
-                .filter(member -> member.state().takesWork())
+                .filter(member -> member.takesWork())
                 .map(Member::host)
                 .filter(host -> !host.name().equals(self.name()) && !configuration.draining(host))
                 .toList();
--- a/daemon/src/main/java/org/knapweedhatch/daemon/TrafficRuntime.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/TrafficRuntime.java
@@ -1,9 +1,13 @@
 package org.knapweedhatch.daemon;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.knapweedhatch.answer.Answering;
 import org.knapweedhatch.answer.ClaimMessage;
@@ -34,8 +38,12 @@
 /** Steering and answering of one host: drives their decisions by time, by messages and by changes. */
 final class TrafficRuntime {
 
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final long TICK_MS = 10;
     private static final Duration REGION_DISTANCE = Duration.ofMillis(20);
-    private static final Duration LONGEST_RUN = Duration.ofSeconds(5);
+    /** How long a target may go on with a request whose connection was closed. */
+    static final Duration LONGEST_RUN = Duration.ofSeconds(5);
+
     private static final int REPORT_EVERY_TICKS = 50;
     private static final int ASK_EVERY_TICKS = 40;
     private static final int MOST_REMOTE_REPORTS = 16;
@@ -50,7 +58,13 @@
     private volatile Configuration configuration = Configuration.empty();
     private volatile ClientTable table = ClientTable.of(List.of());
     private volatile View view;
+    private volatile boolean active;
     private volatile LookUp lookUp;
+    private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "traffic-tick");
+        thread.setDaemon(true);
+        return thread;
+    });
     private long ticks;
     private int nextRemote;
 
@@ -86,8 +100,24 @@
         return lookUp;
     }
 
-    Load load(double requestsPerSecond) {
-        return new Load(requests.size(), 0, requestsPerSecond);
+    Load load() {
+        return new Load(requests.size(), 0, 0);
+    }
+
+    void start() {
+        ticker.scheduleWithFixedDelay(this::tickSafely, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    void stop() {
+        ticker.shutdownNow();
+    }
+
+    private void tickSafely() {
+        try {
+            tick();
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("traffic: a tick failed");
+        }
     }
 
     synchronized void configure(Configuration next) {
@@ -105,7 +135,19 @@
         lookUp = LookUp.of(table, configuration, next, distances);
     }
 
+    /** Returns whether this host is an active owner of slots and holds some of every target that it owns. */
+    boolean holdsItsSlots() {
+        return active
+                && configuration.targets().values().stream()
+                        .filter(target -> slots.owner(target.name())
+                                .filter(self.name()::equals)
+                                .isPresent())
+                        .allMatch(target -> slots.holding(target).slots(target) > 0);
+    }
+
     void roster(Roster roster) {
+        Roster.Entry own = roster.entries().get(self.name());
+        active = own != null && own.active();
         slots.adopt(roster);
         claims.adopt(roster);
     }
@@ -124,8 +166,7 @@
         return true;
     }
 
-    /** Does what is due; to be called every {@link #TICK}. */
-    void tick() {
+    private void tick() {
         requests.tick();
         ticks++;
         if (ticks % ASK_EVERY_TICKS == 0) {
@@ -136,9 +177,6 @@
         }
     }
 
-    /** Time between two calls of {@link #tick()}. */
-    static final Duration TICK = Duration.ofMillis(10);
-
     private void report() {
         LoadReport report = steering.report();
         for (String host : listeners()) {
@@ -151,7 +189,7 @@
         List<String> near = new ArrayList<>();
         List<String> far = new ArrayList<>();
         for (Member member : view.members().values()) {
-            if (member.name().equals(self.name()) || !member.state().takesWork()) {
+            if (member.name().equals(self.name()) || !member.takesWork()) {
                 continue;
             }
             boolean local = member.host().region().equals(self.region());
--- a/daemon/src/main/java/org/knapweedhatch/edge/Callers.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/Callers.java
@@ -28,6 +28,7 @@
 public final class Callers implements HttpHandler {
 
     private static final int MAX_HELD_BYTES = 64 * 1024;
+    private static final Duration NOT_READY_RETRY = Duration.ofSeconds(1);
     private static final long EXPECTED_ANSWER_BYTES = 4 * 1024;
     private static final Set<HttpString> IDEMPOTENT =
             Set.of(Methods.GET, Methods.HEAD, Methods.PUT, Methods.DELETE, Methods.OPTIONS);
@@ -55,6 +56,11 @@
         return new Callers(host, requests);
     }
 
+    /** Refuses a request that came before the host was ready. */
+    public static void notReady(HttpServerExchange exchange) {
+        Problems.send(exchange, Refusal.of(Reason.LEAVING).retryAfter(NOT_READY_RETRY));
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         exchange.setStatusCode(StatusCodes.INTERNAL_SERVER_ERROR);
--- a/daemon/src/main/java/org/knapweedhatch/fleet/Fleet.java
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
@@ -102,7 +103,7 @@
         superseded = b.superseded;
         membership = Membership.builder(self, time)
                 .events(events)
-                .configuration(() -> configuration.number())
+                .configuration(() -> b.ready.getAsBoolean() ? configuration.number() : 0)
                 .load(b.load)
                 .build();
         platform = new PlatformLoop(b.platform, time, events, self.name(), this::alone, this::list);
@@ -343,6 +344,7 @@
         private LongSupplier hybridTime = () -> 0;
         private LongConsumer hybridTimeSeen = stamp -> {};
         private LinkRule rule = LinkRule.open();
+        private BooleanSupplier ready = () -> true;
 
         private Builder(Host self, String secret, ObjectApi platform, TimeSource time) {
             this.self = Validate.notNull(self, "self");
@@ -357,6 +359,12 @@
             return this;
         }
 
+        /** Sets whether this host is ready; until then it shows configuration 0 and gets no requests. */
+        public Builder ready(BooleanSupplier supplier) {
+            ready = Validate.notNull(supplier, "ready");
+            return this;
+        }
+
         /** Sets where this host's load comes from. */
         public Builder load(Supplier<Load> supplier) {
             load = Validate.notNull(supplier, "load");
--- a/demo/src/main/java/org/knapweedhatch/demo/Caller.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/Caller.java
@@ -51,7 +51,9 @@
         Outcome last = new Outcome(Result.failed(Step.CONNECT, "", "no host is known"));
         for (String host : hosts.subList(0, Math.min(MOST_HOSTS, hosts.size()))) {
             URI uri = URI.create("http://" + host + template.uri().getRawPath()
-                    + (template.uri().getRawQuery() == null ? "" : "?" + template.uri().getRawQuery()));
+                    + (template.uri().getRawQuery() == null
+                            ? ""
+                            : "?" + template.uri().getRawQuery()));
             last = new Outcome(http.call(
                     new HttpCall(template.method(), uri, template.headers(), template.body(), template.timeout())));
             if (!last.neverSent()) {
--- a/demo/src/main/java/org/knapweedhatch/demo/DemoMain.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/DemoMain.java
@@ -6,16 +6,16 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
-import org.kohsuke.args4j.Option;
 import org.knapweedhatch.daemon.EntryHost;
 import org.knapweedhatch.world.Key;
 import org.knapweedhatch.world.Team;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
 
 /**
- * Runs a whole deployment on loopback under traffic, while a key is withdrawn, a target drained and
- * a host stopped, and says whether every promise held. Exit code 0 if so, 1 if not, 2 for wrong arguments.
+ * Runs a whole deployment on loopback under traffic, while a key is withdrawn, a target drained and a host stopped, and
+ * says whether every promise held. Exit code 0 if so, 1 if not, 2 for wrong arguments.
  */
 public final class DemoMain {
 
@@ -121,8 +121,8 @@
 
         private Key smallestTeamsKey() {
             Team smallest = deployment.configuration().teams().values().stream()
-                    .min((one, other) ->
-                            Double.compare(one.contract().rate(), other.contract().rate()))
+                    .min((one, other) -> Double.compare(
+                            one.contract().rate(), other.contract().rate()))
                     .orElseThrow();
             return deployment.configuration().keys().values().stream()
                     .filter(key -> key.team().equals(smallest.name()))
--- a/demo/src/main/java/org/knapweedhatch/demo/Deployment.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/Deployment.java
@@ -56,8 +56,7 @@
         releases = ReleaseStore.over(client(), Waiter.blocking());
         accept(note.getFileName().toString(), Files.readAllBytes(note));
         configuration = releases.current().orThrow();
-        targetWorker = Xnio.getInstance()
-                .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, TARGET_THREADS));
+        targetWorker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, TARGET_THREADS));
         for (Target target : configuration.targets().values()) {
             targets.add(TargetStandIn.of(target, SERVICE_TIME).start(targetWorker));
         }
@@ -78,13 +77,7 @@
     private void start(Host host) {
         platform.platform().listHost(new ListedHost(host, false));
         Settings settings = new Settings(
-                host,
-                List.of(),
-                new Address(PLATFORM_IP, PLATFORM_PORT),
-                CREDENTIAL,
-                SECRET,
-                DRAIN_TIME,
-                STOP_TIMEOUT);
+                host, List.of(), new Address(PLATFORM_IP, PLATFORM_PORT), CREDENTIAL, SECRET, DRAIN_TIME, STOP_TIMEOUT);
         hosts.add(EntryHost.start(settings, client(), TimeSource.system()));
     }
 
--- a/demo/src/main/java/org/knapweedhatch/demo/Traffic.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/Traffic.java
@@ -113,10 +113,10 @@
         if (write) {
             template = template.header(HeaderNames.IDEMPOTENCY_KEY, key);
         }
-        byte[] expected = write
-                ? Digests.sha256(body).getBytes(StandardCharsets.US_ASCII)
-                : Answers.body(path, planned.size());
-        String clientIp = planned.block().cidr().substring(0, planned.block().cidr().indexOf('/'));
+        byte[] expected =
+                write ? Digests.sha256(body).getBytes(StandardCharsets.US_ASCII) : Answers.body(path, planned.size());
+        String clientIp =
+                planned.block().cidr().substring(0, planned.block().cidr().indexOf('/'));
         Judged judged = tryAll(clientIp, planned, template, expected);
         Duration latency = Duration.ofNanos(System.nanoTime() - startNanos - planned.dueNanos());
         return new Call(
--- a/demo/src/main/java/org/knapweedhatch/demo/Verdict.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/Verdict.java
@@ -42,8 +42,12 @@
                 new Finding("a keyed operation runs at most once", doubled()),
                 new Finding("answered means that it ran", answeredNotRun()),
                 new Finding("\"not run\" means that it did not", notRunButRan()),
-                new Finding("no target sees a key", runs.stream().filter(Run::keySeen).count()),
-                new Finding("no target runs more than its slots", runs.stream().filter(Run::overSlots).count()),
+                new Finding(
+                        "no target sees a key",
+                        runs.stream().filter(Run::keySeen).count()),
+                new Finding(
+                        "no target runs more than its slots",
+                        runs.stream().filter(Run::overSlots).count()),
                 new Finding("no team gets more than rate and burst", overLimit(configuration, length)),
                 new Finding("a withdrawn key stops within 3 s", afterWithdrawal(withdrawal)),
                 new Finding("planned stops cut no request", count(Call.Ending.UNKNOWN) + count(Call.Ending.UNREACHED)));
@@ -88,7 +92,8 @@
     }
 
     private static double most(Team team, Duration length) {
-        return team.contract().rate() * length.toMillis() / 1000.0 + team.contract().burst();
+        return team.contract().rate() * length.toMillis() / 1000.0
+                + team.contract().burst();
     }
 
     private long afterWithdrawal(Withdrawal withdrawal) {
