Let a fleet claim keys from its first start, and count lost processes in the roster

Cause: a process that has just started did not vote until claims had expired, so a new deployment refused every keyed request for ten minutes, and hosts that skipped a roster blocked each other. Before: every process but a declared first one waited.

--- a/core/src/main/java/org/knapweedhatch/answer/ClaimMessage.java
+++ b/core/src/main/java/org/knapweedhatch/answer/ClaimMessage.java
@@ -28,11 +28,13 @@
      *
      * @param roster number under which the copy was asked for
      * @param ask the ask that it replies to
+     * @param settled whether the sender knows every claim on its keys
      * @param part counted from 0
      * @param parts number of parts
      * @param claims the claims of this part
      */
-    record Copy(long roster, long ask, int part, int parts, List<Copied> claims) implements ClaimMessage {
+    record Copy(long roster, long ask, boolean settled, int part, int parts, List<Copied> claims)
+            implements ClaimMessage {
         public Copy {
             claims = List.copyOf(claims);
         }
--- a/core/src/main/java/org/knapweedhatch/answer/Claims.java
+++ b/core/src/main/java/org/knapweedhatch/answer/Claims.java
@@ -314,6 +314,7 @@
         List<ClaimMessage.Copied> claims = store.copy(now).stream()
                 .filter(claim -> replicas(claim.key(), roster).contains(asker))
                 .toList();
+        boolean settled = readiness.isSettled(now);
         int parts = Math.max(1, (claims.size() + PART_SIZE - 1) / PART_SIZE);
         List<Outgoing> messages = new ArrayList<>();
         for (int part = 0; part < parts; part++) {
@@ -321,7 +322,7 @@
             messages.add(new Outgoing(
                     asker,
                     new ClaimMessage.Copy(
-                            ask.roster(), ask.ask(), part, parts, claims.subList(part * PART_SIZE, end))));
+                            ask.roster(), ask.ask(), settled, part, parts, claims.subList(part * PART_SIZE, end))));
         }
         return messages;
     }
--- a/core/src/main/java/org/knapweedhatch/steer/Roster.java
+++ b/core/src/main/java/org/knapweedhatch/steer/Roster.java
@@ -36,28 +36,45 @@
 
     private final long number;
     private final long namesSince;
+    private final long lossSince;
     private final Map<String, Entry> entries;
 
-    private Roster(long number, long namesSince, Map<String, Entry> entries) {
+    private Roster(long number, long namesSince, long lossSince, Map<String, Entry> entries) {
         this.number = number;
         this.namesSince = namesSince;
+        this.lossSince = lossSince;
         this.entries = entries;
     }
 
-    /** Creates a roster whose names have been the same since the roster with number {@code namesSince}. */
+    /**
+     * Creates a roster whose names have been the same since the roster with number {@code namesSince}; whether a
+     * process was lost before is taken as unknown, unless it is empty.
+     */
     public static Roster of(long number, long namesSince, Collection<Entry> entries) {
+        return of(number, namesSince, entries.isEmpty() ? 0 : number, entries);
+    }
+
+    /** Creates a roster with all that is known of those before it. */
+    public static Roster of(long number, long namesSince, long lossSince, Collection<Entry> entries) {
         Validate.isTrue(namesSince <= number, "the names date from a later roster: %d", namesSince);
+        Validate.isTrue(lossSince <= number, "a process was lost in a later roster: %d", lossSince);
         return new Roster(
                 number,
                 namesSince,
+                lossSince,
                 entries.stream().collect(Collectors.toUnmodifiableMap(Entry::host, Function.identity())));
     }
 
     /** Returns the roster that follows this one. */
     public Roster next(Collection<Entry> nextEntries) {
-        Roster next = of(number + 1, number + 1, nextEntries);
-        boolean sameNames = next.entries.keySet().equals(entries.keySet());
-        return sameNames ? of(number + 1, namesSince, nextEntries) : next;
+        long following = number + 1;
+        Map<String, Entry> after = of(following, following, nextEntries).entries;
+        boolean sameNames = after.keySet().equals(entries.keySet());
+        boolean loses = entries.values().stream().anyMatch(entry -> {
+            Entry same = after.get(entry.host());
+            return same == null || same.incarnation() != entry.incarnation();
+        });
+        return of(following, sameNames ? namesSince : following, loses ? following : lossSince, nextEntries);
     }
 
     /** Returns the number. */
@@ -70,6 +87,11 @@
         return namesSince;
     }
 
+    /** Returns the number of the roster in which a process was last removed or replaced; 0 where none ever was. */
+    public long lossSince() {
+        return lossSince;
+    }
+
     /** Returns the entries by host name. */
     public Map<String, Entry> entries() {
         return entries;
--- a/core/src/main/java/org/knapweedhatch/steer/RosterCodec.java
+++ b/core/src/main/java/org/knapweedhatch/steer/RosterCodec.java
@@ -19,7 +19,7 @@
             .build();
 
     /** What is written. */
-    private record Form(long number, long namesSince, List<Roster.Entry> entries) {}
+    private record Form(long number, long namesSince, long lossSince, List<Roster.Entry> entries) {}
 
     private RosterCodec() {}
 
@@ -29,7 +29,8 @@
                 .sorted((one, other) -> one.host().compareTo(other.host()))
                 .toList();
         try {
-            return MAPPER.writeValueAsBytes(new Form(roster.number(), roster.namesSince(), entries));
+            return MAPPER.writeValueAsBytes(
+                    new Form(roster.number(), roster.namesSince(), roster.lossSince(), entries));
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("a record of texts and numbers is always written", e);
         }
@@ -39,7 +40,7 @@
     public static Result<Roster> parse(byte[] bytes) {
         try {
             Form form = MAPPER.readValue(bytes, Form.class);
-            return Result.ok(Roster.of(form.number(), form.namesSince(), form.entries()));
+            return Result.ok(Roster.of(form.number(), form.namesSince(), form.lossSince(), form.entries()));
         } catch (IOException | RuntimeException e) {
             return Result.failed(
                     Step.PLATFORM, OBJECT, "not a roster: " + e.getClass().getSimpleName());
--- a/core/src/main/java/org/knapweedhatch/steer/Slots.java
+++ b/core/src/main/java/org/knapweedhatch/steer/Slots.java
@@ -33,7 +33,6 @@
     private final long incarnation;
     private final TimeSource time;
     private final SlotTerms terms;
-    private final long startedAt;
     private final boolean firstProcess;
     private final Map<String, State> states = new ConcurrentHashMap<>();
     private final Map<String, Boolean> idleHosts = new HashMap<>();
@@ -64,7 +63,6 @@
         this.firstProcess = firstProcess;
         this.terms = Validate.notNull(terms, "terms");
         this.time = Validate.notNull(time, "time");
-        startedAt = time.nanos();
     }
 
     /** Creates the slots of a host that holds none yet; {@code firstProcess} where none ran at its name before. */
@@ -109,7 +107,7 @@
         long now = time.nanos();
         long longest = terms.longestRun().toNanos();
         if (current == null) {
-            return firstProcess ? now : startedAt + longest;
+            return firstProcess || next.lossSince() == 0 ? now : now + longest;
         }
         long quiet = current.standing().quietUntil();
         for (Roster.Entry entry : current.standing().roster().entries().values()) {
