--- a/daemon/src/test/java/org/knapweedhatch/daemon/EntryHostTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/daemon/EntryHostTest.java
@@ -48,6 +48,7 @@
     void requestIsServedUnderAReleaseAndRefusedAfterItsKeyIsWithdrawn() throws Exception {
         accept(note());
         host = EntryHost.start(settings(), platform, TimeSource.system());
+        awaitReady();
         awaitConfiguration(1);
         target = TargetStandIn.of(host.configuration().targets().get("orders-1"), Duration.ofMillis(1))
                 .start();
@@ -101,6 +102,12 @@
                 self, List.of(), targetAddress, "", "sixteen-characters", Duration.ofSeconds(1), Duration.ofSeconds(5));
     }
 
+    private void awaitReady() throws InterruptedException {
+        while (!host.ready()) {
+            Thread.sleep(5);
+        }
+    }
+
     private void awaitConfiguration(long number) throws InterruptedException {
         while (host.configuration().number() < number) {
             Thread.sleep(5);
