Leave a source of pieces alone for a second after it failed

A piece that the platform refused was asked for again at once: with the platform down and a head known, a host would have read in a loop as fast as the client's back-off allowed. Another source is still asked at once.

--- a/core/src/main/java/org/knapweedhatch/release/Fetching.java
+++ b/core/src/main/java/org/knapweedhatch/release/Fetching.java
@@ -21,6 +21,7 @@
     private final List<Source> sources = new ArrayList<>();
     private final Map<String, byte[]> fetched = new HashMap<>();
     private final Map<String, Ask> asks = new LinkedHashMap<>();
+    private final Map<Source, Long> failedNanos = new HashMap<>();
     private int turn;
     private Manifest manifest;
 
@@ -41,6 +42,7 @@
     Fetching replacedBy(ReleaseOffer later) {
         Fetching next = new Fetching(later, held, time);
         next.fetched.putAll(fetched);
+        next.failedNanos.putAll(failedNanos);
         return next;
     }
 
@@ -80,7 +82,7 @@
         }
         asks.remove(digest);
         if (body.length == 0 || !Pieces.verified(digest, body).isOk()) {
-            turn++;
+            failed(source);
             return;
         }
         fetched.put(digest, body);
@@ -102,10 +104,10 @@
         List<FollowerEffect> effects = new ArrayList<>();
         Map<String, List<String>> ofPeers = new LinkedHashMap<>();
         for (String digest : missing()) {
-            if (asks.size() >= MAX_ASKS || sources.isEmpty()) {
+            Source source = nextSource();
+            if (asks.size() >= MAX_ASKS || source == null) {
                 break;
             }
-            Source source = sources.get(Math.floorMod(turn, sources.size()));
             asks.put(digest, new Ask(source, time.nanos()));
             if (source.platform()) {
                 effects.add(new FollowerEffect.ReadPiece(digest, Names.piece(digest)));
@@ -118,11 +120,32 @@
         return effects;
     }
 
+    /** Returns the next source that has not failed of late; null where there is none. */
+    private Source nextSource() {
+        for (int i = 0; i < sources.size(); i++) {
+            Source source = sources.get(Math.floorMod(turn + i, sources.size()));
+            Long failed = failedNanos.get(source);
+            if (failed == null || time.since(failed).compareTo(Source.REST) >= 0) {
+                return source;
+            }
+        }
+        return null;
+    }
+
+    private void failed(Source source) {
+        failedNanos.put(source, time.nanos());
+        turn++;
+    }
+
     private void dropLate() {
-        boolean dropped = asks.values()
-                .removeIf(ask -> time.since(ask.nanos()).compareTo(ask.source().timeout()) >= 0);
-        if (dropped) {
-            turn++;
+        List<Map.Entry<String, Ask>> late = asks.entrySet().stream()
+                .filter(e -> time.since(e.getValue().nanos())
+                                .compareTo(e.getValue().source().timeout())
+                        >= 0)
+                .toList();
+        for (Map.Entry<String, Ask> entry : late) {
+            asks.remove(entry.getKey());
+            failed(entry.getValue().source());
         }
     }
 
--- a/core/src/main/java/org/knapweedhatch/release/Source.java
+++ b/core/src/main/java/org/knapweedhatch/release/Source.java
@@ -7,6 +7,9 @@
 
     static final Source PLATFORM = new Source("platform", true);
     static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
+    /** How long a source that failed is left alone. */
+    static final Duration REST = Duration.ofSeconds(1);
+
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(4);
 
     static Source peer(String host) {
--- a/core/src/test/java/org/knapweedhatch/release/ConfigurationFollowerTest.java
+++ b/core/src/test/java/org/knapweedhatch/release/ConfigurationFollowerTest.java
@@ -116,9 +116,31 @@
         List<FollowerEffect> effects = first.headRead(head());
         String digest = ((ReadPiece) effects.get(0)).digest();
         StoredObject forged = new StoredObject(Names.piece(digest), 9, new byte[] {'{', '}'});
-        List<FollowerEffect> again = first.pieceRead(digest, Result.ok(forged));
+        assertEquals(List.of(), first.pieceRead(digest, Result.ok(forged)));
         assertEquals(0, first.inForce().number());
-        run(first, second, again);
+        time.advance(Source.REST);
+        run(first, second, first.tick());
+        assertEquals(1, first.inForce().number());
+    }
+
+    @Test
+    void aSourceThatFailedIsLeftAloneForAWhile() {
+        String digest = ((ReadPiece) first.headRead(head()).get(0)).digest();
+        platform.down(true);
+        assertEquals(List.of(), first.pieceRead(digest, platform.read(Names.piece(digest))));
+        time.advance(Source.REST.minusMillis(1));
+        assertEquals(List.of(), first.tick());
+        time.advance(Duration.ofMillis(1));
+        assertEquals(1, first.tick().size());
+    }
+
+    @Test
+    void aPeerIsAskedAtOnceWhereThePlatformFailed() {
+        run(second, first, second.headRead(head()));
+        String digest = ((ReadPiece) first.headRead(head()).get(0)).digest();
+        first.received("peer", second.offer());
+        platform.down(true);
+        run(first, second, first.pieceRead(digest, platform.read(Names.piece(digest))));
         assertEquals(1, first.inForce().number());
     }
 
