--- a/cli/src/main/java/org/knapweedhatch/cli/replay/HostParts.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/HostParts.java
@@ -27,11 +27,13 @@
 import org.knapweedhatch.platform.StoredObject;
 import org.knapweedhatch.release.ConfigurationFollower;
 import org.knapweedhatch.release.FollowerEffect;
+import org.knapweedhatch.release.Head;
 import org.knapweedhatch.release.Names;
 import org.knapweedhatch.release.OfferRequest;
 import org.knapweedhatch.release.PieceAnswer;
 import org.knapweedhatch.release.PieceRequest;
 import org.knapweedhatch.release.ReleaseOffer;
+import org.knapweedhatch.release.WakeGuard;
 import org.knapweedhatch.steer.Distances;
 import org.knapweedhatch.steer.LoadReport;
 import org.knapweedhatch.steer.Roster;
@@ -61,6 +63,7 @@
     private final EventSink events;
     private final Membership membership;
     private final ConfigurationFollower follower;
+    private final WakeGuard guard;
     private Configuration configuration = Configuration.empty();
     private KeyRing keys = KeyRing.empty();
     private Limiter limiter;
@@ -71,12 +74,14 @@
     private long splitVersion;
     private long splitObject;
     private long rosterNumber;
+    private long headAskedNanos;
 
     HostParts(HostProcess process, RealFleet fleet) {
         this.process = process;
         this.fleet = fleet;
         time = fleet.stage().queue().time();
         events = fleet.stage().events(process.name());
+        guard = WakeGuard.of(time);
         follower = ConfigurationFollower.create(time, START_WAIT, events);
         List<Host> others = fleet.stage().deployment().hosts().stream()
                 .filter(host -> !host.name().equals(process.name()))
@@ -124,7 +129,19 @@
         return fleet.stage().deployment()::regionDelay;
     }
 
+    /** Returns whether the configuration is sure enough to admit a request; asks for the latest where it is not. */
+    boolean mayAct() {
+        if (guard.mayAct()) {
+            return true;
+        }
+        if (headAskedNanos < guard.wokeNanos()) {
+            readHead();
+        }
+        return false;
+    }
+
     private void tickMembership() {
+        guard.tick();
         process.send(membership.tick());
         membership.ahead().map(Member::name).ifPresent(this::askAhead);
         if (limiter == null && membership.joined()) {
@@ -259,9 +276,15 @@
     }
 
     private void readHead() {
+        long asked = time.nanos();
+        headAskedNanos = asked;
         this.<StoredObject>call(api -> api.read(Names.HEAD), result -> {
             if (result.isOk()) {
                 perform(follower.headRead(result.orThrow()));
+                Result<Head> head = Head.parse(result.orThrow().body());
+                if (head.isOk() && head.orThrow().number() <= configuration.number()) {
+                    guard.confirmed(asked);
+                }
             }
         });
     }
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Observers.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Observers.java
@@ -45,11 +45,6 @@
         observers.forEach(o -> o.sent(nanos, link, bytes));
     }
 
-    @Override
-    public void decided(long nanos, Request request, Outcome outcome) {
-        observers.forEach(o -> o.decided(nanos, request, outcome));
-    }
-
     @Override
     public void answered(long nanos, Request request, Outcome outcome) {
         observers.forEach(o -> o.answered(nanos, request, outcome));
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Replay.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Replay.java
@@ -23,7 +23,7 @@
     private static final long NANOS_PER_MICRO = 1_000;
     private static final double NANOS_PER_SECOND = 1e9;
     /** Time after the last line in which requests still end. */
-    private static final long SETTLE_NANOS = 12_000_000_000L;
+    private static final long SETTLE_NANOS = 8_000_000_000L;
     /** Time before the first line in which hosts find each other. */
     static final long WARM_UP_NANOS = 15_000_000_000L;
 
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/RequestDesk.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/RequestDesk.java
@@ -30,6 +30,9 @@
     private static final long BORROW_WAIT_NANOS = Duration.ofMillis(500).toNanos();
 
     private static final long LEAST_PAUSE_NANOS = Duration.ofMillis(5).toNanos();
+    /** Time between two looks at whether a host that woke may admit requests. */
+    private static final long WAKE_PAUSE_NANOS = Duration.ofMillis(20).toNanos();
+
     private static final int STATUS_OK = 200;
 
     /** Takes what becomes of a request: for its caller, or for the host that relayed it. */
@@ -63,6 +66,10 @@
             fleet.answer(request, process, Outcome.notRun(Outcome.UNREACHABLE));
             return;
         }
+        if (!parts.mayAct()) {
+            later(WAKE_PAUSE_NANOS, () -> arrive(request));
+            return;
+        }
         KeyCheck key = fleet.decisions().check(parts.keys(), request.arrival().key());
         if (key instanceof KeyCheck.Accepted accepted) {
             admit(request, accepted.key().team(), stage.now() + BORROW_WAIT_NANOS, false);
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Stage.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Stage.java
@@ -65,7 +65,6 @@
 
     /** Lets the caller receive an outcome after the way back. */
     void answer(Request request, String domain, Outcome outcome) {
-        observer.decided(now(), request, outcome);
         long way = network.callerDelay(request.arrival().region(), domain);
         queue.after(way, () -> observer.answered(now(), request, outcome));
     }
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/release/WakeGuardTest.java
@@ -0,0 +1,55 @@
+package org.knapweedhatch.release;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+import org.knapweedhatch.clock.ManualTime;
+
+class WakeGuardTest {
+
+    private static final Duration TICK = Duration.ofMillis(100);
+
+    private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
+    private final WakeGuard guard = WakeGuard.of(time);
+
+    @Test
+    void hostThatTicksActs() {
+        for (int i = 0; i < 100; i++) {
+            time.advance(TICK);
+            guard.tick();
+            assertTrue(guard.mayAct());
+        }
+    }
+
+    @Test
+    void hostThatStoodStillWaitsForTheLatestNumber() {
+        time.advance(Duration.ofSeconds(5));
+        assertFalse(guard.mayAct());
+        guard.confirmed(time.nanos());
+        assertTrue(guard.mayAct());
+    }
+
+    @Test
+    void answerToAQuestionFromBeforeThePauseProvesNothing() {
+        long asked = time.nanos();
+        time.advance(Duration.ofSeconds(5));
+        guard.confirmed(asked);
+        assertFalse(guard.mayAct());
+    }
+
+    @Test
+    void hostThatReachesNobodyGoesOn() {
+        time.advance(Duration.ofSeconds(5));
+        assertFalse(guard.mayAct());
+        for (Duration waited = Duration.ZERO;
+                waited.compareTo(WakeGuard.LONGEST_WAIT) < 0;
+                waited = waited.plus(TICK)) {
+            assertFalse(guard.mayAct());
+            time.advance(TICK);
+        }
+        assertTrue(guard.mayAct());
+    }
+}
