--- a/core/src/main/java/org/knapweedhatch/answer/Claims.java
+++ b/core/src/main/java/org/knapweedhatch/answer/Claims.java
@@ -41,6 +41,7 @@
     private static final int PART_SIZE = 200;
     private static final int RELEASES = 4;
     private static final long REPEAT_NANOS = Duration.ofMillis(100).toNanos();
+    private static final long COPY_NANOS = Duration.ofMillis(500).toNanos();
     private static final double CLOCK_DRIFT = 0.01;
 
     private final String self;
@@ -53,6 +54,7 @@
     private final Map<Claimant, Departure> releases = new LinkedHashMap<>();
     private Roster roster;
     private long lastRepeat;
+    private long lastCopyAsk = Long.MIN_VALUE / 2;
 
     /** A claim that this host asks votes for, or holds. */
     private static final class Bid {
@@ -312,6 +314,7 @@
         List<ClaimMessage.Copied> claims = store.copy(now).stream()
                 .filter(claim -> replicas(claim.key(), roster).contains(asker))
                 .toList();
+        boolean settled = readiness.isSettled(now);
         int parts = Math.max(1, (claims.size() + PART_SIZE - 1) / PART_SIZE);
         List<Outgoing> messages = new ArrayList<>();
         for (int part = 0; part < parts; part++) {
@@ -319,7 +322,7 @@
             messages.add(new Outgoing(
                     asker,
                     new ClaimMessage.Copy(
-                            ask.roster(), ask.ask(), part, parts, claims.subList(part * PART_SIZE, end))));
+                            ask.roster(), ask.ask(), settled, part, parts, claims.subList(part * PART_SIZE, end))));
         }
         return messages;
     }
@@ -354,7 +357,8 @@
     private List<Outgoing> repeated(long now) {
         List<Outgoing> messages = new ArrayList<>();
         store.expire(now);
-        if (roster != null) {
+        if (roster != null && now - lastCopyAsk >= COPY_NANOS) {
+            lastCopyAsk = now;
             ClaimMessage.CopyAsk ask = new ClaimMessage.CopyAsk(roster.number(), now);
             readiness.missing(now).forEach(host -> messages.add(new Outgoing(host, ask)));
         }
--- a/core/src/main/java/org/knapweedhatch/steer/Steering.java
+++ b/core/src/main/java/org/knapweedhatch/steer/Steering.java
@@ -57,7 +57,7 @@
     /** Takes a view of the hosts in; only living hosts that do not leave get requests. */
     public synchronized void view(View view) {
         others = view.members().values().stream()
-                .filter(member -> member.state().takesWork())
+                .filter(member -> member.takesWork())
                 .map(Member::host)
                 .filter(host -> !host.name().equals(self.name()) && !configuration.draining(host))
                 .toList();
@@ -99,8 +99,8 @@
     }
 
     /** Notes that a request sent to another host came back. */
-    public List<Placement> relayEnded(String service, String host, boolean refused) {
-        return shard(service).relayEnded(host, refused);
+    public List<Placement> relayEnded(String service, String host, RelayResult result) {
+        return shard(service).relayEnded(host, result);
     }
 
     /** Takes another host's load report in. */
