--- a/daemon/src/main/java/org/knapweedhatch/daemon/Drain.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/Drain.java
@@ -8,6 +8,9 @@
 final class Drain {
 
     private static final long POLL_MS = 20;
+    /** Time without a request after which no caller uses this host any more. */
+    private static final Duration QUIET = Duration.ofSeconds(2);
+
     private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(10);
 
     private final EntryHost host;
@@ -24,7 +27,7 @@
         await(host.settings().drainTime(), () -> false);
         host.drainState(DrainState.FINISHING);
         host.leaveRoster();
-        await(host.settings().stopTimeout(), () -> host.hasLeftRoster() && host.inFlight() == 0);
+        await(host.settings().stopTimeout(), () -> host.hasLeftRoster() && host.quietFor(QUIET));
         host.drainState(DrainState.HANDING_OVER);
         host.fleet().leave();
         await(HAND_OVER_TIMEOUT, host.fleet()::hasLeft);
--- a/daemon/src/main/java/org/knapweedhatch/daemon/EntryHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/EntryHost.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import java.time.Duration;
 import java.util.Optional;
 import org.knapweedhatch.admin.Metrics;
 import org.knapweedhatch.answer.Reason;
@@ -62,6 +63,8 @@
     private volatile Callers callers;
     private volatile DrainState drainState = DrainState.SERVING;
     private volatile boolean started;
+    private boolean stopped;
+    private volatile long lastArrivalNanos;
     private Edge edge;
 
     private EntryHost(Settings settings, ObjectApi platform, TimeSource time, LinkRule rule) {
@@ -136,6 +139,7 @@
     }
 
     private void handle(HttpServerExchange exchange) throws Exception {
+        lastArrivalNanos = time.nanos();
         HttpHandler ready = callers;
         if (drainState != DrainState.SERVING) {
             exchange.setPersistent(false);
@@ -247,6 +251,11 @@
         return now == null ? 0 : now.requests().size();
     }
 
+    /** Returns whether nothing runs and no request has come for a time. */
+    boolean quietFor(Duration span) {
+        return inFlight() == 0 && time.since(lastArrivalNanos).compareTo(span) >= 0;
+    }
+
     boolean platformReachable() {
         return fleet.platformReachable();
     }
@@ -282,8 +291,12 @@
         return now == null || now.hasLeft();
     }
 
-    /** Stops at once; requests in flight are cut. */
-    public void stop() {
+    /** Stops at once; requests in flight are cut. A second call does nothing. */
+    public synchronized void stop() {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
         edge.stop();
         feed.stop();
         TrafficRuntime now = traffic;
--- a/daemon/src/main/java/org/knapweedhatch/edge/TeamLimits.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/TeamLimits.java
@@ -15,7 +15,7 @@
 /** Admits requests against their team's limit; a request whose budget is on its way waits a little for it. */
 final class TeamLimits {
 
-    private static final Duration LONGEST_WAIT = Duration.ofMillis(500);
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(1);
     private static final Duration SHORTEST_WAIT = Duration.ofMillis(1);
     private static final int MOST_WAITING = 2_000;
 
--- a/daemon/src/main/java/org/knapweedhatch/peer/ClaimCodec.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/ClaimCodec.java
@@ -117,6 +117,7 @@
         ClaimCopyRecord.Builder record = ClaimCopyRecord.newBuilder()
                 .setRoster(message.roster())
                 .setAsk(message.ask())
+                .setSettled(message.settled())
                 .setPart(message.part())
                 .setParts(message.parts());
         message.claims().forEach(claim -> record.addClaims(copied(claim)));
@@ -129,6 +130,7 @@
         return new ClaimMessage.Copy(
                 record.getRoster(),
                 record.getAsk(),
+                record.getSettled(),
                 record.getPart(),
                 record.getParts(),
                 record.getClaimsList().stream().map(ClaimCodec::copied).toList());
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
@@ -77,6 +77,7 @@
     private final Fetches fetches = new Fetches(Limits.FETCHES);
     private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
     private final EventLoopGroup loops;
+    private volatile boolean stopped;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
     private PeerTransport(Builder b) {
@@ -124,7 +125,7 @@
     }
 
     private void send(String peer, Envelope.Builder envelope) {
-        if (peer.equals(host.name()) || !rule.passes(host.name(), peer)) {
+        if (stopped || peer.equals(host.name()) || !rule.passes(host.name(), peer)) {
             counters.dropped.increment();
             return;
         }
@@ -241,6 +242,7 @@
 
     /** Closes all connections and stops listening. */
     public void stop() {
+        stopped = true;
         links.values().forEach(PeerLink::close);
         channels.close().awaitUninterruptibly();
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/ClaimCopyRecord.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/ClaimCopyRecord.java
@@ -134,6 +134,17 @@
     return claims_.get(index);
   }
 
+  public static final int SETTLED_FIELD_NUMBER = 6;
+  private boolean settled_ = false;
+  /**
+   * <code>bool settled = 6;</code>
+   * @return The settled.
+   */
+  @java.lang.Override
+  public boolean getSettled() {
+    return settled_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -163,6 +174,9 @@
     for (int i = 0; i < claims_.size(); i++) {
       output.writeMessage(5, claims_.get(i));
     }
+    if (settled_ != false) {
+      output.writeBool(6, settled_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -192,6 +206,10 @@
           }
           size += 1 * count;
         }
+    if (settled_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, settled_);
+    }
     return size;
   }
   @java.lang.Override
@@ -226,6 +244,8 @@
         != other.getParts()) return false;
     if (!getClaimsList()
         .equals(other.getClaimsList())) return false;
+    if (getSettled()
+        != other.getSettled()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -251,6 +271,9 @@
       hash = (37 * hash) + CLAIMS_FIELD_NUMBER;
       hash = (53 * hash) + getClaimsList().hashCode();
     }
+    hash = (37 * hash) + SETTLED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getSettled());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -393,6 +416,7 @@
         claimsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      settled_ = false;
       return this;
     }
 
@@ -451,6 +475,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.parts_ = parts_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.settled_ = settled_;
+      }
     }
 
     @java.lang.Override
@@ -503,6 +530,9 @@
           }
         }
       }
+      if (other.getSettled() != false) {
+        setSettled(other.getSettled());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -560,6 +590,11 @@
               }
               break;
             } // case 42
+            case 48: {
+              settled_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -939,6 +974,38 @@
       return claimsBuilder_;
     }
 
+    private boolean settled_ ;
+    /**
+     * <code>bool settled = 6;</code>
+     * @return The settled.
+     */
+    @java.lang.Override
+    public boolean getSettled() {
+      return settled_;
+    }
+    /**
+     * <code>bool settled = 6;</code>
+     * @param value The settled to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSettled(boolean value) {
+
+      settled_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool settled = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSettled() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      settled_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:knapweedhatch.ClaimCopyRecord)
   }
 
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/ClaimCopyRecordOrBuilder.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/ClaimCopyRecordOrBuilder.java
@@ -57,4 +57,10 @@
    */
   org.knapweedhatch.peer.proto.CopiedClaimRecordOrBuilder getClaimsOrBuilder(
       int index);
+
+  /**
+   * <code>bool settled = 6;</code>
+   * @return The settled.
+   */
+  boolean getSettled();
 }
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/Rooms.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/Rooms.java
@@ -193,11 +193,11 @@
       "\002 \001(\0132\035.knapweedhatch.ClaimantRecord\022\020\n\010" +
       "answered\030\003 \001(\010\022/\n\006answer\030\004 \001(\0132\037.knapwee" +
       "dhatch.KeptAnswerRecord\022\021\n\tage_nanos\030\005 \001" +
-      "(\004\"}\n\017ClaimCopyRecord\022\016\n\006roster\030\001 \001(\004\022\013\n" +
-      "\003ask\030\002 \001(\004\022\014\n\004part\030\003 \001(\r\022\r\n\005parts\030\004 \001(\r\022" +
-      "0\n\006claims\030\005 \003(\0132 .knapweedhatch.CopiedCl" +
-      "aimRecordB \n\034org.knapweedhatch.peer.prot" +
-      "oP\001b\006proto3"
+      "(\004\"\216\001\n\017ClaimCopyRecord\022\016\n\006roster\030\001 \001(\004\022\013" +
+      "\n\003ask\030\002 \001(\004\022\014\n\004part\030\003 \001(\r\022\r\n\005parts\030\004 \001(\r" +
+      "\0220\n\006claims\030\005 \003(\0132 .knapweedhatch.CopiedC" +
+      "laimRecord\022\017\n\007settled\030\006 \001(\010B \n\034org.knapw" +
+      "eedhatch.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -334,7 +334,7 @@
     internal_static_knapweedhatch_ClaimCopyRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_ClaimCopyRecord_descriptor,
-        new java.lang.String[] { "Roster", "Ask", "Part", "Parts", "Claims", });
+        new java.lang.String[] { "Roster", "Ask", "Part", "Parts", "Claims", "Settled", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/demo/src/main/java/org/knapweedhatch/demo/Call.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/Call.java
@@ -32,8 +32,10 @@
         ANSWERED,
         /** Refused, and the system says that it did not run. */
         NOT_RUN,
-        /** It may have run. */
+        /** The system says that it may have run. */
         UNKNOWN,
+        /** Its connection ended without a whole answer. */
+        BROKEN,
         /** No host could be reached. */
         UNREACHED,
         /** Answered, and the body is not its own or not whole. */
--- a/demo/src/main/java/org/knapweedhatch/demo/DemoMain.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/DemoMain.java
@@ -27,7 +27,7 @@
     private String note = "examples/agency.ini";
 
     @Option(name = "--seconds", usage = "length of the traffic")
-    private int seconds = 20;
+    private int seconds = 30;
 
     @Option(name = "--load", usage = "traffic of each team as a share of its rate")
     private double load = 0.4;
--- a/demo/src/main/java/org/knapweedhatch/demo/Table.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/Table.java
@@ -11,7 +11,7 @@
 /** Prints what became of the calls, by team and by region, and the verdict on each promise. */
 final class Table {
 
-    private static final String ROW = "%-24s %8s %9s %8s %8s %9s %8s %8s%n";
+    private static final String ROW = "%-24s %8s %9s %8s %8s %8s %9s %8s %8s%n";
 
     private Table() {}
 
@@ -28,7 +28,7 @@
 
     private static void print(PrintStream out, String title, List<Call> calls, Function<Call, String> by) {
         out.println();
-        out.printf(ROW, title, "sent", "answered", "not-run", "unknown", "unreached", "p50 ms", "p99 ms");
+        out.printf(ROW, title, "sent", "answered", "not-run", "unknown", "broken", "unreached", "p50 ms", "p99 ms");
         Map<String, List<Call>> groups =
                 calls.stream().collect(Collectors.groupingBy(by, TreeMap::new, Collectors.toList()));
         groups.forEach((name, group) -> row(out, name, group));
@@ -47,6 +47,7 @@
                 count(calls, Call.Ending.ANSWERED),
                 count(calls, Call.Ending.NOT_RUN),
                 count(calls, Call.Ending.UNKNOWN),
+                count(calls, Call.Ending.BROKEN),
                 count(calls, Call.Ending.UNREACHED),
                 millis(latency.getValueAtPercentile(50)),
                 millis(latency.getValueAtPercentile(99)));
--- a/demo/src/main/java/org/knapweedhatch/demo/Traffic.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/Traffic.java
@@ -131,16 +131,24 @@
                 elapsed());
     }
 
-    private record Judged(Call.Ending ending, String reason) {}
+    private record Judged(Call.Ending ending, String reason) {
+        boolean mayHaveRun() {
+            return ending == Call.Ending.UNKNOWN || ending == Call.Ending.BROKEN;
+        }
+    }
 
     private Judged tryAll(String clientIp, Planned planned, HttpCall template, byte[] expected) {
         Judged judged = new Judged(Call.Ending.UNREACHED, "");
+        boolean mayHaveRun = false;
         for (int i = 0; i < MOST_TRIES; i++) {
             Caller.Outcome outcome = caller.call(clientIp, planned.team().name(), template);
             judged = judge(outcome, expected);
+            if (mayHaveRun && judged.ending() == Call.Ending.NOT_RUN) {
+                return new Judged(Call.Ending.UNKNOWN, judged.reason());
+            }
+            mayHaveRun |= judged.mayHaveRun();
             boolean again = judged.ending() == Call.Ending.UNREACHED
-                    || judged.ending() == Call.Ending.UNKNOWN
-                            && template.headers().containsKey(HeaderNames.IDEMPOTENCY_KEY);
+                    || judged.mayHaveRun() && template.headers().containsKey(HeaderNames.IDEMPOTENCY_KEY);
             if (!again) {
                 return judged;
             }
@@ -153,7 +161,7 @@
             return new Judged(Call.Ending.UNREACHED, outcome.answer().fault().message());
         }
         if (!outcome.answer().isOk()) {
-            return new Judged(Call.Ending.UNKNOWN, outcome.answer().fault().message());
+            return new Judged(Call.Ending.BROKEN, outcome.answer().fault().message());
         }
         HttpAnswer answer = outcome.answer().orThrow();
         if (answer.isSuccess()) {
--- a/demo/src/main/java/org/knapweedhatch/demo/Verdict.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/Verdict.java
@@ -50,7 +50,7 @@
                         runs.stream().filter(Run::overSlots).count()),
                 new Finding("no team gets more than rate and burst", overLimit(configuration, length)),
                 new Finding("a withdrawn key stops within 3 s", afterWithdrawal(withdrawal)),
-                new Finding("planned stops cut no request", count(Call.Ending.UNKNOWN) + count(Call.Ending.UNREACHED)));
+                new Finding("planned stops cut no request", count(Call.Ending.BROKEN) + count(Call.Ending.UNREACHED)));
     }
 
     private long count(Call.Ending ending) {
