--- a/daemon/src/main/java/org/knapweedhatch/daemon/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/ConfigurationFeed.java
@@ -8,10 +8,12 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.fault.Result;
 import org.knapweedhatch.message.Outgoing;
 import org.knapweedhatch.message.PeerMessage;
 import org.knapweedhatch.platform.ObjectApi;
+import org.knapweedhatch.platform.PlatformWatch;
 import org.knapweedhatch.platform.StoredObject;
 import org.knapweedhatch.release.ConfigurationFollower;
 import org.knapweedhatch.release.FollowerEffect;
@@ -30,10 +32,7 @@
 final class ConfigurationFeed {
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(25);
     private static final Duration START_WAIT = Duration.ofMillis(500);
-    private static final long MIN_PAUSE_MS = 250;
-    private static final long MAX_PAUSE_MS = 4_000;
 
     private final ObjectApi platform;
     private final ConfigurationFollower follower;
@@ -113,33 +112,22 @@
     }
 
     private void watch() {
-        long version = 0;
-        long pauseMs = MIN_PAUSE_MS;
+        PlatformWatch watch = PlatformWatch.of(
+                platform,
+                Names.HEAD,
+                Waiter.blocking(),
+                () -> ThreadLocalRandom.current().nextDouble());
         while (!stopped) {
-            Result<List<StoredObject>> changed = platform.watch(Names.HEAD, version, WATCH_WAIT);
+            Result<List<StoredObject>> changed = watch.next();
             platformReachable = changed.isOk();
             if (changed.isOk()) {
-                pauseMs = MIN_PAUSE_MS;
-                for (StoredObject head : changed.orThrow()) {
-                    version = Math.max(version, head.version());
-                    perform(follower.headRead(head));
-                }
+                changed.orThrow().forEach(head -> perform(follower.headRead(head)));
             } else {
                 LOG.atWarning().log("configuration: platform does not answer: %s", changed.fault());
-                pause(pauseMs);
-                pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
             }
         }
     }
 
-    private static void pause(long ms) {
-        try {
-            Thread.sleep(ms / 2 + ThreadLocalRandom.current().nextLong(ms));
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private void perform(List<FollowerEffect> effects) {
         for (FollowerEffect effect : effects) {
             if (effect instanceof FollowerEffect.Send send) {
