--- a/daemon/src/main/java/org/knapweedhatch/daemon/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/ConfigurationFeed.java
@@ -122,7 +122,7 @@
             platformReachable = changed.isOk();
             if (changed.isOk()) {
                 changed.orThrow().forEach(head -> perform(follower.headRead(head)));
-            } else {
+            } else if (!stopped) {
                 LOG.atWarning().log("configuration: platform does not answer: %s", changed.fault());
             }
         }
