--- a/core/src/main/java/org/knapweedhatch/steer/Slots.java
+++ b/core/src/main/java/org/knapweedhatch/steer/Slots.java
@@ -209,6 +209,17 @@
         return now == null ? Optional.empty() : Optional.ofNullable(now.owners().get(target));
     }
 
+    /** Returns whether this host owns a target under the roster in force. */
+    boolean owns(String target) {
+        return self.equals(owners().get(target));
+    }
+
+    /** Returns the owners by target; another map each time that they may have changed. */
+    Map<String, String> owners() {
+        Terms now = current;
+        return now == null ? Map.of() : now.owners();
+    }
+
     /** Returns how much of a target this host may hold now. */
     public Holding holding(Target target) {
         State state = states.computeIfAbsent(target.name(), name -> new State());
--- a/core/src/main/java/org/knapweedhatch/steer/TargetPool.java
+++ b/core/src/main/java/org/knapweedhatch/steer/TargetPool.java
@@ -40,6 +40,8 @@
     private final Map<String, Entry> entries = new TreeMap<>();
     private final Set<String> reportedUnhealthy = new HashSet<>();
     private boolean configured;
+    private Map<String, String> ownersSeen = Map.of();
+    private List<Entry> owned = List.of();
 
     private static final class Entry {
         private Target target;
@@ -77,14 +79,28 @@
             entry.draining = configuration.draining(target);
         }
         gone.forEach(entries::remove);
+        ownersSeen = Map.of();
+        owned = List.of();
         configured = true;
     }
 
+    /** Returns the entries of the targets that this host owns. */
+    private List<Entry> owned() {
+        Map<String, String> owners = slots.owners();
+        if (owners != ownersSeen) {
+            ownersSeen = owners;
+            owned = entries.values().stream()
+                    .filter(entry -> slots.owns(entry.target.name()))
+                    .toList();
+        }
+        return owned;
+    }
+
     /** Takes a slot of the best target that is not excluded; empty where none is free. */
     Optional<Target> take(Set<String> excluded) {
         long now = time.nanos();
         List<Entry> free = new ArrayList<>();
-        for (Entry entry : entries.values()) {
+        for (Entry entry : owned()) {
             if (!excluded.contains(entry.target.name()) && room(entry, now) > 0) {
                 free.add(entry);
             }
@@ -128,15 +144,13 @@
     /** Returns how many more requests could run now. */
     int free() {
         long now = time.nanos();
-        return entries.values().stream()
-                .mapToInt(e -> Math.max(0, room(e, now)))
-                .sum();
+        return owned().stream().mapToInt(e -> Math.max(0, room(e, now))).sum();
     }
 
     /** Returns how many requests may run at once. */
     int capacity() {
         long now = time.nanos();
-        return entries.values().stream().mapToInt(e -> usable(e, now)).sum();
+        return owned().stream().mapToInt(e -> usable(e, now)).sum();
     }
 
     void succeeded(String target, Duration taken) {
--- a/core/src/test/java/org/knapweedhatch/answer/FakeWorld.java
+++ b/core/src/test/java/org/knapweedhatch/answer/FakeWorld.java
@@ -122,7 +122,7 @@
         return oneDomain.equals(otherDomain) || !cutOff.contains(oneDomain) && !cutOff.contains(otherDomain);
     }
 
-    /** Kills a host; the others see it a second later, and the roster two seconds after that. */
+    /** Kills a host; the others see it a second later, the roster after three, and after five it is removed. */
     void kill(String host) {
         hosts.get(host).kill();
         after(Duration.ofSeconds(1), this::refreshViews);
@@ -131,6 +131,17 @@
                 change(host, incarnations.get(host), false);
             }
         });
+        after(Duration.ofSeconds(5), () -> {
+            if (hosts.get(host).dead()) {
+                remove(host);
+            }
+        });
+    }
+
+    private void remove(String host) {
+        Map<String, Roster.Entry> entries = new HashMap<>(roster.entries());
+        entries.remove(host);
+        spread(roster.next(entries.values()));
     }
 
     /** Starts a new process at a dead host's name. */
@@ -144,10 +155,13 @@
 
     void change(String host, long incarnation, boolean active) {
         Map<String, Roster.Entry> entries = new HashMap<>(roster.entries());
-        Roster.Entry old = entries.get(host);
-        entries.put(host, new Roster.Entry(host, old.region(), old.domain(), incarnation, active));
-        roster = roster.next(entries.values());
-        Roster next = roster;
+        Host self = hosts.get(host).self();
+        entries.put(host, new Roster.Entry(host, self.region(), self.domain(), incarnation, active));
+        spread(roster.next(entries.values()));
+    }
+
+    private void spread(Roster next) {
+        roster = next;
         hosts.values().forEach(h -> after(Duration.ofMillis(random.nextInt(500)), () -> h.adopt(next)));
     }
 
--- a/core/src/test/java/org/knapweedhatch/answer/RealHost.java
+++ b/core/src/test/java/org/knapweedhatch/answer/RealHost.java
@@ -71,7 +71,9 @@
         claims = Claims.of(self.name(), incarnation, incarnation == 1, world.time);
         answering = Answering.of(steering, claims, world.time);
         steering.configure(world.deployment.configuration());
-        adopt(world.roster);
+        if (world.roster.entries().containsKey(self.name())) {
+            adopt(world.roster);
+        }
         world.after(TICK, this::tick);
     }
 
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/answer/RetryBudgetTest.java
@@ -0,0 +1,27 @@
+package org.knapweedhatch.answer;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class RetryBudgetTest {
+
+    @Property(tries = 100, seed = "55")
+    void retriesNeverPassATenthOfTheFirstDispatches(@ForAll long seed) {
+        Random random = new Random(seed);
+        RetryBudget budget = new RetryBudget();
+        int dispatched = 0;
+        int retried = 0;
+        for (int i = 0; i < 1000; i++) {
+            if (random.nextBoolean()) {
+                budget.dispatched();
+                dispatched++;
+            } else if (budget.take()) {
+                retried++;
+            }
+            assertTrue(retried * 10 <= dispatched);
+        }
+    }
+}
