--- a/cli/src/main/java/org/knapweedhatch/cli/replay/RequestDesk.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/RequestDesk.java
@@ -30,6 +30,9 @@
     private static final long BORROW_WAIT_NANOS = Duration.ofMillis(500).toNanos();
 
     private static final long LEAST_PAUSE_NANOS = Duration.ofMillis(5).toNanos();
+    /** Time between two looks at whether a host that woke may admit requests. */
+    private static final long WAKE_PAUSE_NANOS = Duration.ofMillis(20).toNanos();
+
     private static final int STATUS_OK = 200;
 
     /** Takes what becomes of a request: for its caller, or for the host that relayed it. */
@@ -54,14 +57,19 @@
         stage = fleet.stage();
     }
 
-    /** Takes a request of a caller. */
+    /** Takes a request of a caller that still waits. */
     void arrive(Request request) {
-        long deadline = request.nanos() + TIMEOUT_NANOS;
-        stage.queue().at(deadline, () -> fleet.giveUp(request));
+        if (!fleet.isOpen(request, process)) {
+            return;
+        }
         if (!parts.isReady()) {
             fleet.answer(request, process, Outcome.notRun(Outcome.UNREACHABLE));
             return;
         }
+        if (!parts.mayAct()) {
+            later(WAKE_PAUSE_NANOS, () -> arrive(request));
+            return;
+        }
         KeyCheck key = fleet.decisions().check(parts.keys(), request.arrival().key());
         if (key instanceof KeyCheck.Accepted accepted) {
             admit(request, accepted.key().team(), stage.now() + BORROW_WAIT_NANOS, false);
@@ -197,7 +205,7 @@
             }
             case SHED -> on(new Event.SaidNotRun(number, attempt));
             case UNREACHABLE -> on(new Event.ConnectFailed(number, attempt));
-            case LOST -> on(new Event.ConnectionLost(number, attempt));
+            default -> on(new Event.ConnectionLost(number, attempt));
         }
     }
 
@@ -276,7 +284,7 @@
             switch (outcome.kind()) {
                 case ANSWERED -> answered(relay.request(), relay.attempt(), outcome.answerOf());
                 case NOT_RUN -> on(new Event.SaidNotRun(relay.request(), relay.attempt()));
-                case UNKNOWN -> on(new Event.SaidUnknown(relay.request(), relay.attempt()));
+                default -> on(new Event.SaidUnknown(relay.request(), relay.attempt()));
             }
         });
     }
