--- a/daemon/src/main/java/org/knapweedhatch/daemon/Main.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/Main.java
@@ -1,9 +1,12 @@
 package org.knapweedhatch.daemon;
 
 import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.io.InputStream;
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.logging.LogManager;
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.ini.Checked;
 import org.knapweedhatch.ini.FileFault;
@@ -34,6 +37,7 @@
 
     /** Starts the daemon. */
     public static void main(String[] args) {
+        configureLogs();
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
         try {
@@ -53,6 +57,17 @@
         run(settings.orThrow());
     }
 
+    private static void configureLogs() {
+        if (System.getProperty("java.util.logging.config.file") != null) {
+            return;
+        }
+        try (InputStream logging = Main.class.getResourceAsStream("/knapweedhatchd-logging.properties")) {
+            LogManager.getLogManager().readConfiguration(logging);
+        } catch (IOException e) {
+            System.err.println("knapweedhatchd: the default logging could not be set up: " + e.getMessage());
+        }
+    }
+
     private static void run(Settings settings) {
         URI platform = URI.create("http://" + settings.platform());
         HttpCaller http = HttpCaller.create();
--- a/demo/src/main/java/org/knapweedhatch/demo/DemoMain.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/DemoMain.java
@@ -1,11 +1,13 @@
 package org.knapweedhatch.demo;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.logging.LogManager;
 import org.knapweedhatch.daemon.EntryHost;
 import org.knapweedhatch.world.Key;
 import org.knapweedhatch.world.Team;
@@ -39,6 +41,9 @@
 
     /** Runs the demo. */
     public static void main(String[] args) throws Exception {
+        try (InputStream logging = DemoMain.class.getResourceAsStream("/demo-logging.properties")) {
+            LogManager.getLogManager().readConfiguration(logging);
+        }
         DemoMain demo = new DemoMain();
         CmdLineParser parser = new CmdLineParser(demo);
         try {
