Hold answers that cross regions to the bytes of their link

Before: no shift between regions could happen. Conclusion: a large answer waits for its link instead of passing its cap.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/TrafficRuntime.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/TrafficRuntime.java
@@ -82,8 +82,8 @@
         steering = Steering.builder(self, slots)
                 .time(time)
                 .distances(distances)
-                .links((from, to, bytes) ->
-                        limiter.admit(LimitId.link(from, to), bytes).isAdmitted())
+                .links((from, to, bytes) -> !from.equals(self.region())
+                        || limiter.admit(LimitId.link(from, to), bytes).isAdmitted())
                 .events(events)
                 .build();
         claims = Claims.of(self.name(), incarnation, false, time);
--- a/daemon/src/main/java/org/knapweedhatch/edge/Attempt.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/Attempt.java
@@ -11,8 +11,10 @@
 import io.undertow.util.Protocols;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.knapweedhatch.fault.Fault;
 import org.knapweedhatch.fault.Step;
 import org.knapweedhatch.message.HeaderNames;
@@ -218,30 +220,42 @@
         return small;
     }
 
-    /** Passes the answer's body on to the caller; a body that breaks off runs {@code broken}. */
-    void deliver(Runnable delivered, Runnable broken) {
+    /** Passes the answer's body on to the caller as a pacer lets it; a body that breaks off runs {@code broken}. */
+    void deliver(Pacer pacer, Runnable delivered, Runnable broken) {
         if (small.isPresent()) {
-            Pipe.send(
-                    caller.getResponseChannel(), ByteBuffer.wrap(small.get()), delivered, writeFailure -> broken.run());
+            deliverSmall(pacer, ByteBuffer.wrap(small.get()), delivered, broken);
             return;
         }
-        Pipe.stream(
-                exchange.getResponseChannel(),
-                caller.getResponseChannel(),
-                caller.getConnection().getByteBufferPool(),
-                () -> {
-                    answerRead = true;
-                    releaseIfClean();
-                },
-                delivered,
-                readFailure -> {
-                    cancel();
-                    broken.run();
-                },
-                writeFailure -> {
-                    cancel();
-                    broken.run();
-                });
+        new PacedPipe(
+                        exchange.getResponseChannel(),
+                        caller.getResponseChannel(),
+                        pacer,
+                        caller.getIoThread(),
+                        this::answerRead,
+                        delivered,
+                        readFailure -> breakOff(broken),
+                        writeFailure -> breakOff(broken))
+                .run();
+    }
+
+    private void deliverSmall(Pacer pacer, ByteBuffer bytes, Runnable delivered, Runnable broken) {
+        Duration wait = pacer.take(bytes.remaining());
+        if (wait.isZero()) {
+            Pipe.send(caller.getResponseChannel(), bytes, delivered, writeFailure -> broken.run());
+        } else {
+            Runnable again = () -> deliverSmall(pacer, bytes, delivered, broken);
+            caller.getIoThread().executeAfter(again, wait.toNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void answerRead() {
+        answerRead = true;
+        releaseIfClean();
+    }
+
+    private void breakOff(Runnable broken) {
+        cancel();
+        broken.run();
     }
 
     private void releaseIfClean() {
--- a/daemon/src/main/java/org/knapweedhatch/edge/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/CallerRequest.java
@@ -132,7 +132,10 @@
 
     private void deliver(int delivered) {
         delivering = delivered;
-        attempt.deliver(this::delivered, () -> requests.on(new Event.AnswerBroke(number, delivered)));
+        attempt.deliver(
+                outbounds.pacerBack(head),
+                this::delivered,
+                () -> requests.on(new Event.AnswerBroke(number, delivered)));
     }
 
     private Optional<KeptAnswer> kept() {
--- a/daemon/src/main/java/org/knapweedhatch/edge/Outbounds.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/Outbounds.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.Objects;
 import java.util.Optional;
+import org.knapweedhatch.answer.Head;
 import org.knapweedhatch.message.HeaderNames;
 import org.knapweedhatch.world.Address;
 import org.knapweedhatch.world.Target;
@@ -71,6 +72,12 @@
         return new Outbound(connections, exchange.getRequestMethod(), pathOf(exchange), headers);
     }
 
+    /** Returns the pace of an answer's body: that of the link to the region of the host that relayed the request. */
+    Pacer pacerBack(Head head) {
+        boolean crosses = head.relayed() && !head.sender().equals(host.region());
+        return crosses ? Pacer.of(host.limiter(), host.region(), head.sender()) : Pacer.none();
+    }
+
     /** Returns whether a received request carries the proof of a host of the deployment. */
     boolean isGenuine(HttpServerExchange exchange) {
         HeaderMap headers = exchange.getRequestHeaders();
--- a/daemon/src/main/java/org/knapweedhatch/edge/Pipe.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/Pipe.java
@@ -97,7 +97,8 @@
         sink.resumeWrites();
     }
 
-    private static void end(StreamSinkChannel sink, Runnable done, Consumer<IOException> failed) {
+    /** Ends a sink and runs {@code done} once all of it is flushed. */
+    static void end(StreamSinkChannel sink, Runnable done, Consumer<IOException> failed) {
         try {
             sink.shutdownWrites();
             if (sink.flush()) {
