--- /dev/null
+++ b/benchmarks/src/main/java/org/knapweedhatch/benchmarks/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of limits. */
+package org.knapweedhatch.benchmarks.limit;
--- a/core/src/main/java/org/knapweedhatch/limit/Borrower.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Borrower.java
@@ -19,14 +19,16 @@
     private static final long ANSWER_TIMEOUT_NANOS = Duration.ofMillis(250).toNanos();
     private static final long BACK_OFF_NANOS = Duration.ofMillis(50).toNanos();
     private static final long LONGEST_BACK_OFF_NANOS = Duration.ofMillis(400).toNanos();
+    private static final long HOPELESS_NANOS = Duration.ofMillis(200).toNanos();
     private static final long HINT_NANOS = Duration.ofMillis(300).toNanos();
     private static final double POOR_ROUND = 0.1;
-    private static final double SMALLEST_REQUEST = 1e-4;
+    private static final double SMALLEST_REQUEST = 2e-3;
     private static final int FAN_OUT = 8;
+    private static final double MARGIN = 2;
 
     private record Hint(double spare, long at) {}
 
-    private record Sent(String peer, long at) {}
+    private record Sent(String peer, long at, Set<Long> loans) {}
 
     private final LimitId limit;
     private final Bucket bucket;
@@ -68,7 +70,7 @@
         Shortage shortage = bucket.shortage(HORIZON_NANOS);
         Map<String, Double> wishes =
                 shortage.isNone() ? Map.of() : wishes(shortage, expectations(shortage, split, self, now, reachable));
-        bucket.expectLoan(!wishes.isEmpty());
+        bucket.expectLoan(backOff < HOPELESS_NANOS);
         if (wishes.isEmpty() && !shortage.isNone()) {
             retryAt = now + BACK_OFF_NANOS;
         }
@@ -82,7 +84,7 @@
         List<Outgoing> out = new ArrayList<>();
         wishes.forEach((peer, share) -> {
             long id = ++lastId;
-            sent.put(id, new Sent(peer, now));
+            sent.put(id, new Sent(peer, now, new HashSet<>()));
             awaited.add(id);
             roundAsked += share;
             out.add(new Outgoing(
@@ -123,16 +125,22 @@
         hints.values().removeIf(hint -> now - hint.at() > HINT_NANOS);
         Map<String, Double> spares = new HashMap<>(ownedShares(split));
         hints.forEach((peer, hint) -> spares.put(peer, hint.spare()));
-        shortage.lent().forEach(loan -> spares.merge(loan.peer(), loan.share(), Double::sum));
-        Map<String, Double> best = new HashMap<>();
-        spares.entrySet().stream()
+        List<Map.Entry<String, Double>> likely = spares.entrySet().stream()
                 .filter(e -> !e.getKey().equals(self) && e.getValue() > 0 && reachable.test(e.getKey()))
                 .sorted(Map.Entry.<String, Double>comparingByValue()
                         .reversed()
-                        .thenComparing(Map.Entry.comparingByKey()))
+                        .thenComparing(e -> Electors.mix(self + now, e.getKey())))
                 .limit(FAN_OUT)
-                .forEach(e -> best.put(e.getKey(), e.getValue()));
-        return best;
+                .toList();
+        Map<String, Double> chosen = new HashMap<>();
+        double sum = 0;
+        for (Map.Entry<String, Double> e : likely) {
+            if (sum < MARGIN * shortage.share()) {
+                chosen.put(e.getKey(), e.getValue());
+                sum += e.getValue();
+            }
+        }
+        return chosen;
     }
 
     private Map<String, Double> ownedShares(Split split) {
@@ -145,36 +153,40 @@
     }
 
     /** Takes a grant in; an unknown, late or repeated one is ignored. */
-    void granted(String from, LoanGrant grant, double lenderShare) {
+    void granted(String from, LoanGrant grant) {
         Sent request = sent.get(grant.id());
         if (request == null
                 || grant.incarnation() != incarnation
                 || !request.peer().equals(from)) {
             return;
         }
-        sent.remove(grant.id());
         long now = clock.getAsLong();
-        if (grant.share() > 0) {
-            long end = request.at() + Math.min(leaseNanos, settings.shortened(Duration.ofNanos(grant.leaseNanos())));
-            bucket.borrow(new Loan(from, grant.id(), grant.share(), end), grant.renews(), grant.tokens());
+        if (grant.share() > 0 && request.loans().add(grant.loan())) {
+            long lease = Math.min(leaseNanos, settings.shortened(Duration.ofNanos(grant.leaseNanos())));
+            Loan loan = new Loan(from, grant.loan(), grant.share(), request.at() + lease);
+            bucket.borrow(loan, grant.renews(), grant.tokens());
             roundGot += grant.share();
         }
-        for (String other : grant.borrowers()) {
-            hints.putIfAbsent(other, new Hint(lenderShare, now));
-        }
         hints.put(from, new Hint(grant.spare(), now));
-        awaited.remove(grant.id());
-        if (awaited.isEmpty()) {
+        if (awaited.remove(grant.id()) && awaited.isEmpty()) {
             endRound(now);
         }
     }
 
+    /** Returns what is given back since the demand has gone. */
+    List<Outgoing> release() {
+        return bucket.release().stream()
+                .map(s -> new Outgoing(
+                        s.peer(), new LoanRelease(++lastId, incarnation, limit, s.loan(), s.share(), s.tokens())))
+                .toList();
+    }
+
     private void endRound(long now) {
         awaited.clear();
         if (roundGot < POOR_ROUND * roundAsked) {
             retryAt = now + backOff;
+            bucket.expectLoan(backOff < HOPELESS_NANOS);
             backOff = Math.min(2 * backOff, LONGEST_BACK_OFF_NANOS);
-            bucket.expectLoan(false);
         } else {
             backOff = BACK_OFF_NANOS;
         }
--- a/core/src/main/java/org/knapweedhatch/limit/Bucket.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Bucket.java
@@ -1,6 +1,8 @@
 package org.knapweedhatch.limit;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.LongSupplier;
 import org.knapweedhatch.world.Contract;
 
@@ -18,10 +20,14 @@
     private static final double URGENT_HEADROOM = 1.4;
     private static final double LENDER_HEADROOM = 1.05;
     private static final double LOW_WATER = 0.35;
-    private static final double LENDER_LOW_WATER = 0.25;
+    private static final double LENDER_LOW_WATER = 0.35;
     private static final double REFILL_SECONDS = 0.25;
+    private static final double RELEASE_HEADROOM = 1.3;
+    private static final double RELEASE_PART = 0.3;
+    private static final double FLOOR_TOKENS = 1.5;
+    private static final double FLOOR_PART = 0.15;
     private static final double IDLE_FLOOR = 0.02;
-    private static final double SMALLEST_LOAN = 1e-4;
+    private static final double SMALLEST_LOAN = 2e-3;
     private static final double IDLE_DEMAND = 0.01;
     private static final int SHORTEST_LEASE_DIVISOR = 8;
     private static final Duration LOAN_WAIT = Duration.ofMillis(50);
@@ -41,7 +47,7 @@
     private double tokens;
     private long at;
     private long boundary = Long.MAX_VALUE;
-    private boolean loanExpected;
+    private boolean loanExpected = true;
     private long admitted;
     private long refused;
 
@@ -86,14 +92,15 @@
             return new Admission.Refused(LONGEST_WAIT, RefusalReason.TOO_LARGE);
         }
         Duration refill = refillTime(amount);
-        if (loanExpected && refill.compareTo(LOAN_WAIT) > 0) {
+        boolean tooSmall = size() < amount;
+        if ((loanExpected || tooSmall) && refill.compareTo(LOAN_WAIT) > 0) {
             return new Admission.Refused(LOAN_WAIT, RefusalReason.BORROWING);
         }
         return new Admission.Refused(refill, RefusalReason.SPENT);
     }
 
     private Duration refillTime(long amount) {
-        if (held * burst < amount) {
+        if (size() < amount) {
             return LONGEST_WAIT;
         }
         double nanos = Math.ceil((amount - tokens) / (held * rate * slowdown) * NANOS_PER_SECOND);
@@ -133,65 +140,73 @@
     }
 
     /**
-     * Lends as much of the wanted share as is not needed here, deducting it at once.
+     * Lends as much of the wanted share as this host owns and does not need, deducting it at once.
      *
      * @param peer host that asks
      * @param request its request
-     * @param longest longest lease, in nanoseconds
+     * @param longest longest lease, in nanoseconds; the loan ends with the right to use the owned share at the latest
+     * @param number number of the loan
      */
-    synchronized LoanGrant lend(String peer, LoanRequest request, long longest) {
+    synchronized LoanGrant lend(String peer, LoanRequest request, long longest, long number) {
         long now = advance();
+        long lease = Math.min(longest, ownedUntil - now);
         double renewed = lent.share(peer, request.renews());
-        double keep = ownNeed(now);
-        long lease = bestLease(now, longest, keep, peer, request);
-        double share = Math.min(request.share(), leastHeld(now, now + lease, peer, request.renews()) - keep);
+        double spare = lease < longest / SHORTEST_LEASE_DIVISOR ? 0 : spare(now) + renewed;
+        double share = Math.min(request.share(), spare);
         if (share < SMALLEST_LOAN) {
-            return grant(request, 0, 0, 0, 0);
+            return grant(request, 0, 0, 0, 0, 0);
         }
         double fresh = Math.max(0, share - renewed);
         double moved = held <= 0 ? 0 : tokens * Math.min(1, fresh / held);
         tokens -= moved;
-        lent.add(new Loan(peer, request.id(), share, now + lease), request.renews());
+        lent.add(new Loan(peer, number, share, now + lease), request.renews());
         settle();
-        double spare = Math.max(0, leastHeld(now, now + lease) - keep);
-        return grant(request, share, moved, lease, spare);
+        return grant(request, number, share, moved, lease, Math.max(0, spare(now)));
     }
 
-    /** Returns the lease for which the most can be lent, counted in share times time. */
-    private long bestLease(long now, long longest, double keep, String peer, LoanRequest request) {
-        long best = longest;
-        double bestValue = 0;
-        for (int divisor = 1; divisor <= SHORTEST_LEASE_DIVISOR; divisor *= 2) {
-            long lease = longest / divisor;
-            double free = leastHeld(now, now + lease, peer, request.renews()) - keep;
-            double value = Math.min(request.share(), free) * lease;
-            if (value > bestValue) {
-                best = lease;
-                bestValue = value;
-            }
-        }
-        return best;
+    /** Returns the owned share that is neither lent nor needed here. */
+    private double spare(long now) {
+        double free = owned - lent.share();
+        return Math.min(free, held - ownNeed(now));
     }
 
-    private LoanGrant grant(LoanRequest r, double share, double moved, long lease, double spare) {
-        return new LoanGrant(r.id(), r.incarnation(), r.limit(), r.renews(), share, moved, lease, spare, lent.peers());
+    private static LoanGrant grant(LoanRequest r, long number, double share, double moved, long lease, double spare) {
+        return new LoanGrant(r.id(), r.incarnation(), r.limit(), number, r.renews(), share, moved, lease, spare);
     }
 
-    /** Returns the least share held at any moment between two times, as far as is known now. */
-    private double leastHeld(long from, long to) {
-        return leastHeld(from, to, "", 0);
+    /** Takes back a loan, or part of it, before its end. */
+    synchronized void takeBack(String peer, long number, double share, double withTokens) {
+        advance();
+        if (lent.share(peer, number) <= 0) {
+            return;
+        }
+        lent.reduce(peer, number, share);
+        settle();
+        tokens = Math.min(tokens + withTokens, size());
     }
 
-    /** Returns the least share held between two times if one of the loans to others did not exist. */
-    private double leastHeld(long from, long to, String peer, long lentId) {
-        double least = heldAfter(from) + lent.shareAfter(from, peer, lentId);
-        if (ownedUntil > from && ownedUntil <= to) {
-            least = Math.min(least, heldAfter(ownedUntil) + lent.shareAfter(ownedUntil, peer, lentId));
+    /** Gives up borrowed share that is far more than is needed; it is out of use before this returns. */
+    synchronized List<Surplus> release() {
+        long now = advance();
+        double total = borrowed.share();
+        double surplus = Math.min(total, held - demand.rate(now) * RELEASE_HEADROOM / rate);
+        if (total < SMALLEST_LOAN || surplus < RELEASE_PART * total) {
+            return List.of();
         }
-        for (Loan loan : borrowed.endingBy(to)) {
-            least = Math.min(least, heldAfter(loan.end()) + lent.shareAfter(loan.end(), peer, lentId));
+        List<Surplus> released = new ArrayList<>();
+        double perShare = tokens / held;
+        for (Loan loan : borrowed.all()) {
+            double share = Math.min(loan.share(), surplus);
+            if (share < SMALLEST_LOAN) {
+                continue;
+            }
+            surplus -= share;
+            borrowed.reduce(loan.peer(), loan.id(), share);
+            released.add(new Surplus(loan.peer(), loan.id(), share, share * perShare));
+            tokens -= share * perShare;
         }
-        return least;
+        settle();
+        return released;
     }
 
     private double heldAfter(long moment) {
@@ -201,9 +216,16 @@
 
     /** Returns the share that this host needs for itself before it lends. */
     private double ownNeed(long now) {
-        double missing = demand.rate(now) < IDLE_DEMAND ? 0 : Math.max(0, LENDER_LOW_WATER * size() - tokens);
-        double need = (demand.rate(now) * LENDER_HEADROOM + missing / REFILL_SECONDS) / rate;
-        return Math.min(1, Math.max(need, IDLE_FLOOR * owned));
+        double reserve = demand.rate(now) < IDLE_DEMAND ? 0 : LENDER_LOW_WATER * size();
+        double missing = Math.max(0, reserve - tokens) / REFILL_SECONDS;
+        double need = (demand.rate(now) * LENDER_HEADROOM + missing) / rate;
+        return Math.min(1, Math.max(need, floor(now)));
+    }
+
+    /** Returns the share that is never lent: room for a token or two where there was demand of late. */
+    private double floor(long now) {
+        boolean used = demand.isRecent(now);
+        return used ? Math.min(FLOOR_TOKENS / burst, FLOOR_PART * owned) : IDLE_FLOOR * owned;
     }
 
     /** Returns what should be borrowed so that the forecast demand is met until a horizon. */
@@ -213,7 +235,7 @@
         if (forecast < IDLE_DEMAND) {
             return Shortage.NONE;
         }
-        double least = leastHeld(now, now + horizon);
+        double least = held - borrowed.shareEndingBy(now + horizon);
         double unmet = demand.unmet(now);
         double left = tokens + (held * rate - forecast) * horizon / NANOS_PER_SECOND;
         boolean low = unmet >= 1 || left < LOW_WATER * size();
@@ -223,7 +245,7 @@
         if (!(low || ending) || gap < SMALLEST_LOAN) {
             return Shortage.NONE;
         }
-        return new Shortage(gap, borrowed.endingBy(now + horizon), lent.all());
+        return new Shortage(gap, borrowed.endingBy(now + horizon));
     }
 
     private double urgentNeed(long now, double unmet) {
--- a/core/src/main/java/org/knapweedhatch/limit/Demand.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Demand.java
@@ -3,16 +3,20 @@
 /**
  * Forecasts what is asked for, in tokens per second.
  *
- * <p>A slow and a quick moving average, both bounded by how long nothing was asked for; and the amount that was refused
- * and not yet admitted.
+ * <p>Moving averages, the longest of them where only little was asked for, bounded by how long nothing was; and the
+ * amount that was refused and not yet admitted.
  */
 final class Demand {
 
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double SLOW_SECONDS = 0.6;
+    private static final double STEADY_SECONDS = 3;
+    private static final double FEW = 30;
     private static final double QUICK_SECONDS = 0.1;
+    private static final double RECENT_SECONDS = 10;
     private static final double SILENCE_FACTOR = 4;
 
+    private double steady;
     private double slow;
     private double quick;
     private double unmet;
@@ -22,6 +26,7 @@
     /** Notes that an amount was asked for. */
     void add(double amount, long now) {
         age(now);
+        steady += amount / STEADY_SECONDS;
         slow += amount / SLOW_SECONDS;
         quick += amount / QUICK_SECONDS;
         lastAmount = amount;
@@ -39,6 +44,7 @@
 
     private void age(long now) {
         double elapsed = elapsed(now);
+        steady *= Math.exp(-elapsed / STEADY_SECONDS);
         slow *= Math.exp(-elapsed / SLOW_SECONDS);
         quick *= Math.exp(-elapsed / QUICK_SECONDS);
         unmet *= Math.exp(-elapsed / SLOW_SECONDS);
@@ -49,10 +55,19 @@
         return Math.max(0, now - at) / NANOS_PER_SECOND;
     }
 
+    /** Returns whether anything was asked for lately. */
+    boolean isRecent(long now) {
+        return lastAmount > 0 && elapsed(now) < RECENT_SECONDS;
+    }
+
     /** Returns the forecast of a host that is served. */
     double rate(long now) {
         double elapsed = elapsed(now);
         double average = slow * Math.exp(-elapsed / SLOW_SECONDS);
+        double longer = steady * Math.exp(-elapsed / STEADY_SECONDS);
+        if (longer * STEADY_SECONDS < FEW * lastAmount) {
+            average = longer;
+        }
         return elapsed > 0 ? Math.min(average, SILENCE_FACTOR * lastAmount / elapsed) : average;
     }
 
--- a/core/src/main/java/org/knapweedhatch/limit/Limiter.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Limiter.java
@@ -44,11 +44,12 @@
     private static final long STEWARD_NANOS = Duration.ofMillis(250).toNanos();
     private static final long NEWS_NANOS = Duration.ofMillis(500).toNanos();
     private static final long REQUEST_MEMORY_NANOS = Duration.ofSeconds(10).toNanos();
+    private static final int LOAN_BITS = 24;
     private static final Admission UNKNOWN = new Admission.Refused(Duration.ofMinutes(1), RefusalReason.UNKNOWN_LIMIT);
 
-    private record RequestKey(String host, long incarnation, long id) {}
+    private record MessageKey(String host, long incarnation, LimitId limit, long id) {}
 
-    private record Part(Bucket bucket, Borrower borrower) {}
+    private record Part(Bucket bucket, Borrower borrower, Lender lender) {}
 
     private final LimitSettings settings;
     private final Host self;
@@ -60,12 +61,13 @@
     private final Object control = new Object();
     private final Fence fence;
     private final Steward steward;
-    private final LinkedHashMap<RequestKey, Long> answered = new LinkedHashMap<>();
+    private final LinkedHashMap<MessageKey, Long> answered = new LinkedHashMap<>();
     private View view;
     private long configured = -1;
     private long usableUntil;
     private long stewardAt = Long.MIN_VALUE;
     private SplitProposal proposal;
+    private long lastLoan;
 
     private Limiter(LimitSettings settings, Host self, long incarnation, TimeSource time, EventSink events) {
         this.settings = settings;
@@ -74,6 +76,7 @@
         this.time = time;
         this.events = events;
         origin = time.nanos();
+        lastLoan = incarnation << LOAN_BITS;
         fence = new Fence(self.name(), incarnation, settings, 0);
         steward = new Steward(self, incarnation, settings, fence);
         view = View.of(self.name(), List.of());
@@ -153,7 +156,9 @@
             return;
         }
         Bucket bucket = new Bucket(contract, settings.drift(), this::now);
-        parts.put(limit, new Part(bucket, new Borrower(limit, bucket, settings, incarnation, this::now)));
+        Borrower borrower = new Borrower(limit, bucket, settings, incarnation, this::now);
+        Lender lender = new Lender(bucket, settings, this::now, () -> ++lastLoan);
+        parts.put(limit, new Part(bucket, borrower, lender));
     }
 
     /** Takes in the members as this host sees them now. */
@@ -196,7 +201,11 @@
                 refresh(true);
             }
             refresh(false);
-            parts.values().forEach(part -> out.addAll(plan(part)));
+            for (Part part : parts.values()) {
+                out.addAll(part.borrower().release());
+                out.addAll(part.lender().retry());
+                out.addAll(plan(part));
+            }
             forgetAnswered(now);
             return out;
         }
@@ -241,6 +250,8 @@
                 readSplit(Split.parse(news.text()));
             } else if (message instanceof LoanRequest request) {
                 return lend(fromHost, request);
+            } else if (message instanceof LoanRelease release) {
+                return takeBack(fromHost, release);
             } else if (message instanceof LoanGrant grant) {
                 return borrow(fromHost, grant);
             }
@@ -265,13 +276,23 @@
     }
 
     private List<Outgoing> lend(String from, LoanRequest request) {
-        RequestKey key = new RequestKey(from, request.incarnation(), request.id());
         Part part = parts.get(request.limit());
-        if (part == null || answered.putIfAbsent(key, now()) != null) {
+        if (part == null || isRepeated(from, request.incarnation(), request.limit(), request.id())) {
             return List.of();
         }
-        LoanGrant grant = part.bucket().lend(from, request, settings.lease().toNanos());
-        return List.of(new Outgoing(from, grant));
+        return List.of(part.lender().answer(from, request));
+    }
+
+    private List<Outgoing> takeBack(String from, LoanRelease release) {
+        Part part = parts.get(release.limit());
+        if (part == null || isRepeated(from, release.incarnation(), release.limit(), release.id())) {
+            return List.of();
+        }
+        return part.lender().released(from, release);
+    }
+
+    private boolean isRepeated(String from, long fromIncarnation, LimitId limit, long id) {
+        return answered.putIfAbsent(new MessageKey(from, fromIncarnation, limit, id), now()) != null;
     }
 
     private List<Outgoing> borrow(String from, LoanGrant grant) {
@@ -279,7 +300,7 @@
         if (part == null) {
             return List.of();
         }
-        part.borrower().granted(from, grant, steward.split().share(grant.limit(), from));
+        part.borrower().granted(from, grant);
         return plan(part);
     }
 
--- a/core/src/main/java/org/knapweedhatch/limit/Loan.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Loan.java
@@ -4,7 +4,7 @@
  * A part of a limit that moved from one host to another for a time.
  *
  * @param peer the other host
- * @param id id of the request that led to it
+ * @param id number that its lender gave it
  * @param share part of the limit
  * @param end when it ends, on the local clock
  */
--- a/core/src/main/java/org/knapweedhatch/limit/LoanBook.java
+++ b/core/src/main/java/org/knapweedhatch/limit/LoanBook.java
@@ -3,29 +3,36 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The loans of one limit in one direction, as one host knows them. */
+/** The loans of one limit in one direction, as one host knows them, in the order of their ends. */
 final class LoanBook {
 
+    private static final double NOTHING = 1e-12;
+
     private final List<Loan> loans = new ArrayList<>();
 
     /** Adds a loan; it takes the place of the loan that it renews, as far as its share goes. */
     void add(Loan loan, long renews) {
-        replace(loan, renews);
-        loans.add(loan);
+        if (renews != 0) {
+            reduce(loan.peer(), renews, loan.share());
+        }
+        int place = loans.size();
+        while (place > 0 && loans.get(place - 1).end() > loan.end()) {
+            place--;
+        }
+        loans.add(place, loan);
     }
 
-    private void replace(Loan loan, long renews) {
-        for (int i = 0; i < loans.size(); i++) {
-            Loan old = loans.get(i);
-            if (renews != 0 && old.is(loan.peer(), renews)) {
-                loans.set(i, old.withShare(Math.max(0, old.share() - loan.share())));
-            }
-        }
+    /** Takes a share off a loan; nothing happens where it has ended. */
+    void reduce(String peer, long id, double share) {
+        loans.replaceAll(old -> old.is(peer, id) ? old.withShare(old.share() - share) : old);
+        loans.removeIf(old -> old.share() < NOTHING);
     }
 
     /** Forgets the loans that have ended. */
     void expire(long now) {
-        loans.removeIf(loan -> loan.end() <= now);
+        while (!loans.isEmpty() && loans.get(0).end() <= now) {
+            loans.remove(0);
+        }
     }
 
     /** Returns the share of the loans that last beyond a moment. */
@@ -39,6 +46,11 @@
         return sum;
     }
 
+    /** Returns the share of all loans. */
+    double share() {
+        return shareAfter(Long.MIN_VALUE);
+    }
+
     /** Returns the share of one loan; 0 where it has ended. */
     double share(String peer, long id) {
         double sum = 0;
@@ -50,40 +62,22 @@
         return sum;
     }
 
-    /** Returns the share of one loan, where it lasts beyond a moment. */
-    double shareAfter(long moment, String peer, long id) {
-        double sum = 0;
-        for (Loan loan : loans) {
-            if (loan.end() > moment && loan.is(peer, id)) {
-                sum += loan.share();
-            }
-        }
-        return sum;
-    }
-
     /** Returns when the next loan ends. */
     long nextEnd() {
-        long next = Long.MAX_VALUE;
-        for (Loan loan : loans) {
-            next = Math.min(next, loan.end());
-        }
-        return next;
+        return loans.isEmpty() ? Long.MAX_VALUE : loans.get(0).end();
     }
 
     /** Returns the loans that end at or before a moment. */
     List<Loan> endingBy(long moment) {
-        return loans.stream().filter(l -> l.end() <= moment && l.share() > 0).toList();
+        return loans.stream().filter(l -> l.end() <= moment).toList();
     }
 
-    List<Loan> all() {
-        return List.copyOf(loans);
+    /** Returns the share of the loans that end at or before a moment. */
+    double shareEndingBy(long moment) {
+        return share() - shareAfter(moment);
     }
 
-    List<String> peers() {
-        return loans.stream()
-                .filter(l -> l.share() > 0)
-                .map(Loan::peer)
-                .distinct()
-                .toList();
+    List<Loan> all() {
+        return List.copyOf(loans);
     }
 }
--- a/core/src/main/java/org/knapweedhatch/limit/Shortage.java
+++ b/core/src/main/java/org/knapweedhatch/limit/Shortage.java
@@ -7,11 +7,10 @@
  *
  * @param share part of the limit that will be missing
  * @param ending loans that end soon and may be renewed
- * @param lent what this host has lent to others
  */
-record Shortage(double share, List<Loan> ending, List<Loan> lent) {
+record Shortage(double share, List<Loan> ending) {
 
-    static final Shortage NONE = new Shortage(0, List.of(), List.of());
+    static final Shortage NONE = new Shortage(0, List.of());
 
     boolean isNone() {
         return share <= 0;
--- a/core/src/test/java/org/knapweedhatch/limit/FakeStore.java
+++ b/core/src/test/java/org/knapweedhatch/limit/FakeStore.java
@@ -12,6 +12,7 @@
     double lostAnswers;
     double staleReads;
     int calls;
+    int writes;
 
     FakeStore(Random random) {
         this.random = random;
@@ -24,6 +25,7 @@
 
     SplitOutcome write(SplitProposal proposal) {
         calls++;
+        writes++;
         if (proposal.baseVersion() != split.version()) {
             return SplitOutcome.LOST;
         }
