--- a/core/src/main/java/org/knapweedhatch/world/Configuration.java
+++ b/core/src/main/java/org/knapweedhatch/world/Configuration.java
@@ -1,6 +1,8 @@
 package org.knapweedhatch.world;
 
 import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -240,7 +242,7 @@
         private final Map<String, Key> keys = new TreeMap<>();
         private final Map<String, Link> links = new TreeMap<>();
         private final Map<String, Shift> shifts = new TreeMap<>();
-        private final Map<String, ClientBlock> blocks = new TreeMap<>();
+        private final Map<String, ClientBlock> blocks = new HashMap<>();
         private final Set<Drain> drains = new HashSet<>();
 
         private Builder() {}
@@ -317,6 +319,21 @@
             return this;
         }
 
+        /** Returns the keys gathered so far, by name. */
+        public Map<String, Key> keys() {
+            return Collections.unmodifiableMap(keys);
+        }
+
+        /** Returns the targets gathered so far, by name. */
+        public Map<String, Target> targets() {
+            return Collections.unmodifiableMap(targets);
+        }
+
+        /** Returns the routes gathered so far, by name. */
+        public Map<String, Route> routes() {
+            return Collections.unmodifiableMap(routes);
+        }
+
         /** Removes a part by kind and name; returns whether it was there. */
         public boolean remove(Class<? extends Record> kind, String name) {
             return parts(kind).remove(name) != null;
