Judge returning domains and pauses without blaming living hosts

When a cut domain came back, the host that was heard last counted as dead for up to a heartbeat interval, since its neighbours were heard already; a domain that was unheard now has to be heard for 4 s first. And evidence that arrived before the first tick after a pause was dated into the future, so that a dead host lived on; it now ends at the present.

A host that dies as it is being introduced is learnt from its neighbours' tables. A host that stops carrying its region's digest sends one more, so that its outdated word does not outlive the change: a death was still unseen in one region after 6 s. Digest pairs are chosen with a bound on regions per host. Heartbeats go out each second in place of 0.8 s.

--- a/core/src/main/java/org/knapweedhatch/member/InboundTable.java
+++ b/core/src/main/java/org/knapweedhatch/member/InboundTable.java
@@ -52,6 +52,11 @@
         return nowNanos - confirmedNanos < Timing.DIGEST_TIMEOUT;
     }
 
+    /** Returns whether it was confirmed so lately that older copies of the same region are put aside. */
+    boolean current(long nowNanos) {
+        return nowNanos - confirmedNanos < Timing.DIGEST_CURRENT;
+    }
+
     /** Returns whether its sender has told nothing for so long that the copy may go. */
     boolean abandoned(long nowNanos) {
         return nowNanos - touchedNanos > 2 * Timing.DIGEST_TIMEOUT;
@@ -62,10 +67,8 @@
         return confirmedNanos;
     }
 
-    void forgive(long pauseNanos) {
-        if (confirmedNanos != Timing.NEVER) {
-            confirmedNanos += pauseNanos;
-        }
+    void forgive(long pauseNanos, long nowNanos) {
+        confirmedNanos = Timing.forgiven(confirmedNanos, pauseNanos, nowNanos);
     }
 
     Row row(String name) {
--- a/core/src/main/java/org/knapweedhatch/member/Membership.java
+++ b/core/src/main/java/org/knapweedhatch/member/Membership.java
@@ -118,8 +118,8 @@
         long gap = now - lastTickNanos;
         lastTickNanos = now;
         if (gap > Timing.PAUSE) {
-            roster.forgive(gap);
-            regions.forgive(gap);
+            roster.forgive(gap, now);
+            regions.forgive(gap, now);
         }
     }
 
@@ -323,13 +323,19 @@
             beats.hasten(now);
             return;
         }
-        List<Host> living = whole.changed().stream()
-                .filter(row -> Row.living(row.state()))
-                .map(Row::host)
-                .filter(this::unknownNeighbour)
-                .filter(host -> !host.name().equals(self.name()))
-                .toList();
-        contacts.add(living, now);
+        for (Row row : whole.changed()) {
+            learnNeighbour(row, now);
+        }
+    }
+
+    private void learnNeighbour(Row row, long now) {
+        if (row.name().equals(self.name()) || !unknownNeighbour(row.host())) {
+            return;
+        }
+        if (row.state() != MemberState.CUT_OFF) {
+            roster.learn(row, now);
+            beats.hasten(now);
+        }
     }
 
     /** Deals with word of a process at this host's name: a joining process outbids it, any other one gives way. */
--- a/core/src/main/java/org/knapweedhatch/member/OwnRegion.java
+++ b/core/src/main/java/org/knapweedhatch/member/OwnRegion.java
@@ -1,8 +1,10 @@
 package org.knapweedhatch.member;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.knapweedhatch.message.Outgoing;
 import org.knapweedhatch.world.Host;
@@ -14,6 +16,9 @@
     private final Roster roster;
     private final OutboundTable table = new OutboundTable();
 
+    /** Regions that got the last digest; one that another host takes over gets one more, with the change. */
+    private final Set<String> carried = new HashSet<>();
+
     OwnRegion(Self self, Roster roster) {
         this.self = self;
         this.roster = roster;
@@ -36,11 +41,18 @@
         update(nowNanos);
         MemberMessage.RegionDigest message =
                 new MemberMessage.RegionDigest(self.host(), self.incarnation(), digest(table.recent(nowNanos)));
-        List<Host> mates = livingMates();
+        TreeMap<String, List<Host>> others = otherRegions(named);
+        Map<String, List<Host>> carriers = Ranking.pairs(livingMates(), others.keySet());
         List<Outgoing> out = new ArrayList<>();
-        otherRegions(named).forEach((region, hosts) -> {
-            if (Ranking.pair(mates, region).contains(self.host())) {
-                receivers(region, hosts, nowNanos).forEach(host -> out.add(new Outgoing(host.name(), message)));
+        Set<String> before = Set.copyOf(carried);
+        carried.clear();
+        others.forEach((region, hosts) -> {
+            boolean carries = carriers.get(region).contains(self.host());
+            if (carries) {
+                carried.add(region);
+            }
+            if (carries || before.contains(region)) {
+                receivers(region, others, nowNanos).forEach(host -> out.add(new Outgoing(host.name(), message)));
             }
         });
         return out;
@@ -67,14 +79,16 @@
     }
 
     /** Returns the hosts of another region that get the digest; while none is heard there, others take turns. */
-    private List<Host> receivers(String region, List<Host> named, long nowNanos) {
+    private List<Host> receivers(String region, TreeMap<String, List<Host>> others, long nowNanos) {
         List<Host> living = roster.hosts(region, peer -> Row.living(peer.state));
         if (!living.isEmpty()) {
-            return Ranking.pair(living, self.region());
+            Set<String> theirOthers = new HashSet<>(others.keySet());
+            theirOthers.remove(region);
+            theirOthers.add(self.region());
+            return Ranking.pairs(living, theirOthers).get(self.region());
         }
         List<Host> any = roster.hosts(region, peer -> !peer.gone);
-        any.addAll(named);
-        any.sort(Comparator.comparing(Host::name));
+        any.addAll(others.get(region));
         return Ranking.pair(any, self.region() + nowNanos / Timing.ROTATE);
     }
 
--- a/core/src/main/java/org/knapweedhatch/member/Peer.java
+++ b/core/src/main/java/org/knapweedhatch/member/Peer.java
@@ -14,6 +14,8 @@
     boolean gone;
     long directNanos = Timing.NEVER;
     long reportedNanos = Timing.NEVER;
+    long domainBackNanos = Timing.NEVER;
+    private long domainHeardNanos = Timing.NEVER;
     long stateSinceNanos;
 
     Peer(Host host, long nowNanos) {
@@ -42,6 +44,14 @@
         return !gone && nowNanos - heardNanos() < Timing.HEARTBEAT_TIMEOUT;
     }
 
+    /** Notes when another host of its domain was last heard, and whether the domain was unheard before that. */
+    void domainHeard(long nanos) {
+        if (nanos - domainHeardNanos > Timing.DOMAIN_GAP) {
+            domainBackNanos = nanos;
+        }
+        domainHeardNanos = nanos;
+    }
+
     /** Makes room for a later process at the same name. */
     void restarted(long newIncarnation) {
         incarnation = newIncarnation;
@@ -52,13 +62,9 @@
     }
 
     /** Takes the time out during which this process was paused and could hear nobody. */
-    void forgive(long pauseNanos) {
-        if (directNanos != Timing.NEVER) {
-            directNanos += pauseNanos;
-        }
-        if (reportedNanos != Timing.NEVER) {
-            reportedNanos += pauseNanos;
-        }
+    void forgive(long pauseNanos, long nowNanos) {
+        directNanos = Timing.forgiven(directNanos, pauseNanos, nowNanos);
+        reportedNanos = Timing.forgiven(reportedNanos, pauseNanos, nowNanos);
     }
 
     Member member() {
--- a/core/src/main/java/org/knapweedhatch/member/Ranking.java
+++ b/core/src/main/java/org/knapweedhatch/member/Ranking.java
@@ -3,38 +3,72 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.knapweedhatch.world.Host;
 
-/** Rendezvous hashing: which hosts of a region speak with another region. */
+/**
+ * Rendezvous hashing with bounded loads: which two hosts of a region speak with each other region.
+ *
+ * <p>The two stand in different failure domains where there are two. Whoever knows the same hosts and regions comes to
+ * the same choice.
+ */
 final class Ranking {
 
     private static final long MIX = 0x9E3779B97F4A7C15L;
 
-    private Ranking() {}
+    private final List<Host> hosts;
+    private final int maxTopics;
+    private final Map<String, Integer> topics = new HashMap<>();
 
-    /**
-     * Returns the first host for a topic, and the next one that stands in another failure domain where there is one.
-     */
+    private Ranking(Collection<Host> hosts, int topics) {
+        this.hosts = List.copyOf(hosts);
+        maxTopics = (2 * topics + hosts.size() - 1) / Math.max(1, hosts.size());
+    }
+
+    /** Returns the pair of hosts for each topic, no host having many more topics than another one. */
+    static Map<String, List<Host>> pairs(Collection<Host> hosts, Collection<String> topics) {
+        Ranking ranking = new Ranking(hosts, topics.size());
+        Map<String, List<Host>> pairs = new TreeMap<>();
+        for (String topic : new TreeSet<>(topics)) {
+            pairs.put(topic, ranking.pair(topic));
+        }
+        return pairs;
+    }
+
+    /** Returns the pair of hosts for one topic alone. */
     static List<Host> pair(Collection<Host> hosts, String topic) {
-        Comparator<Host> order = Comparator.<Host>comparingLong(h -> weight(h.name(), topic))
-                .reversed()
-                .thenComparing(Host::name);
+        return new Ranking(hosts, 1).pair(topic);
+    }
+
+    private List<Host> pair(String topic) {
         List<Host> pair = new ArrayList<>(2);
-        hosts.stream().min(order).ifPresent(pair::add);
-        if (pair.isEmpty()) {
-            return pair;
-        }
-        Host first = pair.get(0);
-        Comparator<Host> otherDomainFirst =
-                Comparator.comparing((Host h) -> h.domain().equals(first.domain()));
-        hosts.stream()
-                .filter(h -> !h.equals(first))
-                .min(otherDomainFirst.thenComparing(order))
-                .ifPresent(pair::add);
+        first(topic, host -> true).ifPresent(first -> {
+            pair.add(first);
+            first(topic, host -> !host.domain().equals(first.domain()))
+                    .or(() -> first(topic, host -> !host.equals(first)))
+                    .ifPresent(pair::add);
+        });
+        pair.forEach(host -> topics.merge(host.name(), 1, Integer::sum));
         return pair;
     }
 
+    private Optional<Host> first(String topic, Predicate<Host> wanted) {
+        Comparator<Host> order = Comparator.<Host>comparingInt(host -> full(host) ? 1 : 0)
+                .thenComparing(host -> weight(host.name(), topic), Comparator.reverseOrder())
+                .thenComparing(Host::name);
+        return hosts.stream().filter(wanted).min(order);
+    }
+
+    private boolean full(Host host) {
+        return topics.getOrDefault(host.name(), 0) >= maxTopics;
+    }
+
     private static long weight(String name, String topic) {
         long h = name.hashCode() * MIX + topic.hashCode();
         h = (h ^ (h >>> 30)) * 0xBF58476D1CE4E5B9L;
--- a/core/src/main/java/org/knapweedhatch/member/RemoteRegions.java
+++ b/core/src/main/java/org/knapweedhatch/member/RemoteRegions.java
@@ -1,6 +1,7 @@
 package org.knapweedhatch.member;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,16 +54,18 @@
         }
     }
 
-    void forgive(long pauseNanos) {
-        inbound.values().forEach(tables -> tables.values().forEach(table -> table.forgive(pauseNanos)));
+    void forgive(long pauseNanos, long nowNanos) {
+        inbound.values().forEach(tables -> tables.values().forEach(table -> table.forgive(pauseNanos, nowNanos)));
     }
 
     /** Judges the hosts of other regions by the copies that are fresh. */
     void judge(long nowNanos) {
         dropStale(nowNanos);
+        Map<String, List<InboundTable>> usable = new HashMap<>();
+        inbound.forEach((region, tables) -> usable.put(region, usable(tables.values(), nowNanos)));
         for (Peer peer : List.copyOf(roster.all())) {
             if (!peer.host.region().equals(ownRegion)) {
-                judge(peer, inbound.getOrDefault(peer.host.region(), Map.of()), nowNanos);
+                judge(peer, usable.getOrDefault(peer.host.region(), List.of()), nowNanos);
             }
         }
     }
@@ -73,14 +76,18 @@
         }
     }
 
-    private void judge(Peer peer, Map<String, InboundTable> tables, long nowNanos) {
+    /** Returns the copies that count: those confirmed lately, else those that have not lapsed. */
+    private static List<InboundTable> usable(Collection<InboundTable> tables, long nowNanos) {
+        List<InboundTable> current =
+                tables.stream().filter(table -> table.current(nowNanos)).toList();
+        return current.isEmpty()
+                ? tables.stream().filter(table -> table.fresh(nowNanos)).toList()
+                : current;
+    }
+
+    private void judge(Peer peer, List<InboundTable> tables, long nowNanos) {
         Row best = null;
-        boolean anyFresh = false;
-        for (InboundTable table : tables.values()) {
-            if (!table.fresh(nowNanos)) {
-                continue;
-            }
-            anyFresh = true;
+        for (InboundTable table : tables) {
             Row row = table.row(peer.name());
             if (row != null && (best == null || row.beats(best))) {
                 best = row;
@@ -95,7 +102,7 @@
             roster.become(peer, peer.leaving ? MemberState.LEAVING : MemberState.ALIVE, nowNanos);
         } else if (best != null && best.incarnation() >= peer.incarnation) {
             roster.become(peer, best.state(), nowNanos);
-        } else if (!anyFresh) {
+        } else if (tables.isEmpty()) {
             roster.become(peer, MemberState.CUT_OFF, nowNanos);
         } else if (best == null && nowNanos - peer.stateSinceNanos > 2 * Timing.DIGEST_TIMEOUT) {
             roster.forget(peer);
@@ -126,11 +133,11 @@
         List<InboundTable> direct = new ArrayList<>();
         inbound.getOrDefault(region, Map.of()).forEach((sender, table) -> {
             Peer peer = roster.get(sender);
-            if (peer != null && peer.host.region().equals(region) && table.fresh(nowNanos)) {
+            if (peer != null && peer.host.region().equals(region)) {
                 direct.add(table);
             }
         });
-        return direct;
+        return usable(direct, nowNanos);
     }
 
     private static long confirmedNanos(List<InboundTable> tables) {
--- a/core/src/main/java/org/knapweedhatch/member/Roster.java
+++ b/core/src/main/java/org/knapweedhatch/member/Roster.java
@@ -80,6 +80,14 @@
         return peer;
     }
 
+    /** Takes in a host that a neighbour told of and that this one has never heard. */
+    void learn(Row row, long nowNanos) {
+        if (peers.get(row.name()) == null) {
+            long unheard = Row.living(row.state()) ? 0 : Timing.HEARTBEAT_TIMEOUT;
+            upsert(row.host(), row.incarnation(), nowNanos).reportedNanos = nowNanos - unheard;
+        }
+    }
+
     void forget(Peer peer) {
         peers.remove(peer.name());
         changed = true;
@@ -109,8 +117,8 @@
         return regions;
     }
 
-    void forgive(long pauseNanos) {
-        peers.values().forEach(peer -> peer.forgive(pauseNanos));
+    void forgive(long pauseNanos, long nowNanos) {
+        peers.values().forEach(peer -> peer.forgive(pauseNanos, nowNanos));
     }
 
     /** Judges the hosts of the own region by what was heard of them and of their failure domains. */
@@ -140,12 +148,14 @@
     }
 
     private void judgeLocal(Peer peer, DomainPulse pulse, long nowNanos) {
+        long domainHeardNanos = pulse.without(peer.name());
+        peer.domainHeard(domainHeardNanos);
         if (peer.gone) {
             become(peer, MemberState.SILENT, nowNanos);
         } else if (peer.heard(nowNanos)) {
             become(peer, peer.leaving ? MemberState.LEAVING : MemberState.ALIVE, nowNanos);
         } else {
-            judgeUnheard(peer, pulse.without(peer.name()), nowNanos);
+            judgeUnheard(peer, domainHeardNanos, nowNanos);
         }
         boolean dead = peer.state == MemberState.SILENT || peer.state == MemberState.CUT_OFF;
         if (dead && nowNanos - peer.stateSinceNanos > Timing.FORGET) {
@@ -157,7 +167,11 @@
         boolean domainHeard = nowNanos - domainHeardNanos < Timing.HEARTBEAT_TIMEOUT;
         if (!domainHeard) {
             become(peer, MemberState.CUT_OFF, nowNanos);
-        } else if (domainHeardNanos - peer.heardNanos() >= Timing.DOMAIN_MARGIN) {
+            return;
+        }
+        boolean missedTurn = domainHeardNanos - peer.heardNanos() >= Timing.DOMAIN_MARGIN;
+        boolean domainIsBack = domainHeardNanos - peer.domainBackNanos >= Timing.RETURN_MARGIN;
+        if (missedTurn && domainIsBack) {
             become(peer, MemberState.SILENT, nowNanos);
         }
     }
--- a/core/src/main/java/org/knapweedhatch/member/Timing.java
+++ b/core/src/main/java/org/knapweedhatch/member/Timing.java
@@ -6,7 +6,7 @@
 final class Timing {
 
     /** Between two heartbeats to the hosts of the own region. */
-    static final long HEARTBEAT = Duration.ofMillis(800).toNanos();
+    static final long HEARTBEAT = Duration.ofMillis(1000).toNanos();
 
     /** Between two digests from one region to another. */
     static final long DIGEST = Duration.ofMillis(1000).toNanos();
@@ -18,13 +18,22 @@
     static final long MIN_GAP = Duration.ofMillis(200).toNanos();
 
     /** A host of the own region that is unheard for so long is asked about. */
-    static final long PROBE_AFTER = Duration.ofMillis(1300).toNanos();
+    static final long PROBE_AFTER = Duration.ofMillis(1400).toNanos();
 
     /** A host of the own region that is unheard for so long is no longer alive. */
     static final long HEARTBEAT_TIMEOUT = Duration.ofMillis(2400).toNanos();
 
     /** A host counts as dead only where another one of its domain was heard so much later; above one interval. */
-    static final long DOMAIN_MARGIN = Duration.ofMillis(1600).toNanos();
+    static final long DOMAIN_MARGIN = Duration.ofMillis(1500).toNanos();
+
+    /** A digest confirmed within this time, two intervals and a relay, outweighs older ones of the same region. */
+    static final long DIGEST_CURRENT = Duration.ofMillis(2500).toNanos();
+
+    /** A domain of which nothing was heard for so long was cut; above one interval. */
+    static final long DOMAIN_GAP = Duration.ofMillis(1400).toNanos();
+
+    /** A host counts as dead only so long after its domain is heard again: it may be connecting still. */
+    static final long RETURN_MARGIN = Duration.ofMillis(4000).toNanos();
 
     /** What a digest said lapses after this time. */
     static final long DIGEST_TIMEOUT = Duration.ofMillis(5000).toNanos();
@@ -64,4 +73,9 @@
     static final long NEVER = Long.MIN_VALUE / 2;
 
     private Timing() {}
+
+    /** Returns a reading moved by the length of a pause, but not past the present. */
+    static long forgiven(long readingNanos, long pauseNanos, long nowNanos) {
+        return readingNanos == NEVER ? NEVER : Math.min(nowNanos, readingNanos + pauseNanos);
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/member/MembershipPropertyTest.java
@@ -0,0 +1,99 @@
+package org.knapweedhatch.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+
+class MembershipPropertyTest {
+
+    private static final Duration STEP = Duration.ofMillis(100);
+    private static final int STEPS = 300;
+    private static final int CONVERGED_AFTER = 80;
+
+    /**
+     * Random domain cuts, crashes, pauses, restarts and losses. While they go on, a process that runs and whose whole
+     * domain is cut, or nothing at all, is never called dead; once they end, all views are true and equal.
+     */
+    @Property(tries = 60, seed = "4711")
+    void viewsConvergeAndNobodyIsCalledDeadForACutDomain(@ForAll @LongRange(min = 1, max = 1L << 40) long seed) {
+        Random random = new Random(seed);
+        Net net = Net.of(seed, 2 + random.nextInt(2), 2, 2 + random.nextInt(2));
+        net.run(Duration.ofSeconds(8));
+        List<String> names = new ArrayList<>(net.hosts.keySet());
+        Set<String> cutDomains = new HashSet<>();
+        Map<String, Integer> disturbed = new HashMap<>();
+        net.cut = (from, to) -> !net.domainOf(from).equals(net.domainOf(to))
+                && (cutDomains.contains(net.domainOf(from)) || cutDomains.contains(net.domainOf(to)));
+        for (int step = 0; step < STEPS; step++) {
+            disturb(net, names, cutDomains, disturbed, random, step);
+            net.run(STEP);
+            assertNobodyFalselySilent(net, names, disturbed, step);
+        }
+        cutDomains.clear();
+        net.paused.clear();
+        names.stream().filter(name -> net.at(name) == null).forEach(net::start);
+        net.run(STEP.multipliedBy(CONVERGED_AFTER));
+        names.forEach(name -> assertEquals(Set.of(MemberState.ALIVE), net.seen(name), name + " of seed " + seed));
+    }
+
+    private static void disturb(
+            Net net,
+            List<String> names,
+            Set<String> cutDomains,
+            Map<String, Integer> disturbed,
+            Random random,
+            int step) {
+        String name = names.get(random.nextInt(names.size()));
+        String domain = net.domainOf(name);
+        switch (random.nextInt(40)) {
+            case 0 -> cutDomains.add(domain);
+            case 1 -> cutDomains.remove(domain);
+            case 2 -> {
+                net.kill(name);
+                disturbed.put(name, step);
+            }
+            case 3 -> {
+                net.paused.remove(name);
+                net.start(name);
+                disturbed.put(name, step);
+            }
+            case 4 -> {
+                net.paused.add(name);
+                disturbed.put(name, step);
+            }
+            case 5 -> {
+                net.paused.remove(name);
+                disturbed.put(name, step);
+            }
+            default -> {}
+        }
+    }
+
+    /** A process that was neither killed nor paused for long enough, and runs, is nowhere called dead. */
+    private static void assertNobodyFalselySilent(
+            Net net, List<String> names, Map<String, Integer> disturbed, int step) {
+        for (String name : names) {
+            boolean runs = net.at(name) != null && !net.paused.contains(name);
+            if (runs && step - disturbed.getOrDefault(name, -STEPS) > CONVERGED_AFTER) {
+                for (Net.Process process : net.processes.values()) {
+                    boolean awake = !net.paused.contains(process.host.name())
+                            && step - disturbed.getOrDefault(process.host.name(), -STEPS) > CONVERGED_AFTER;
+                    assertFalse(
+                            awake && process.sees(name) == MemberState.SILENT,
+                            process.host.name() + " calls " + name + " dead at step " + step);
+                }
+            }
+        }
+    }
+}
--- a/core/src/test/java/org/knapweedhatch/member/Net.java
+++ b/core/src/test/java/org/knapweedhatch/member/Net.java
@@ -185,6 +185,13 @@
         return states;
     }
 
+    /** Returns how each process sees a host, for messages. */
+    Map<String, MemberState> views(String name) {
+        Map<String, MemberState> views = new LinkedHashMap<>();
+        processes.values().forEach(p -> views.put(p.host.name(), p.sees(name)));
+        return views;
+    }
+
     String domainOf(String name) {
         return hosts.get(name).domain();
     }
