--- a/daemon/src/test/java/org/knapweedhatch/peer/PeerCodecsTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/peer/PeerCodecsTest.java
@@ -6,6 +6,7 @@
 
 import com.google.protobuf.ByteString;
 import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -13,19 +14,35 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.knapweedhatch.answer.ClaimMessage;
+import org.knapweedhatch.answer.Claimant;
+import org.knapweedhatch.answer.KeptAnswer;
+import org.knapweedhatch.limit.Confirm;
+import org.knapweedhatch.limit.LimitId;
+import org.knapweedhatch.limit.LoanGrant;
+import org.knapweedhatch.limit.LoanRequest;
+import org.knapweedhatch.limit.SplitNews;
 import org.knapweedhatch.member.Digest;
 import org.knapweedhatch.member.Load;
 import org.knapweedhatch.member.MemberMessage;
 import org.knapweedhatch.member.MemberState;
 import org.knapweedhatch.member.Row;
 import org.knapweedhatch.member.Sighting;
+import org.knapweedhatch.message.PeerMessage;
 import org.knapweedhatch.peer.proto.Envelope;
+import org.knapweedhatch.release.OfferRequest;
+import org.knapweedhatch.release.PieceAnswer;
+import org.knapweedhatch.release.PieceRequest;
+import org.knapweedhatch.release.ReleaseOffer;
+import org.knapweedhatch.steer.LoadReport;
+import org.knapweedhatch.steer.RosterAsk;
+import org.knapweedhatch.steer.RosterReply;
 import org.knapweedhatch.world.Address;
 import org.knapweedhatch.world.Host;
 
 class PeerCodecsTest {
 
-    private final PeerCodecs codecs = PeerCodecs.of(new MemberCodec());
+    private final PeerCodecs codecs = PeerCodecs.all();
 
     @Property(tries = 2_000, seed = "41")
     void messagesComeBackAsTheyWere(@ForAll("messages") MemberMessage message) {
@@ -54,6 +71,37 @@
         assertNotNull(codecs.decode("peer", envelope));
     }
 
+    @Example
+    void messagesOfOtherPackagesComeBackAsTheyWere() {
+        LimitId team = LimitId.team("crews");
+        Claimant claimant = new Claimant("lima-a-1", 7, 8);
+        KeptAnswer kept = new KeptAnswer(201, "text/plain", new byte[] {1, 2});
+        List<PeerMessage> messages = List.of(
+                new Confirm(1, 2, true, 3, 4, 5, 6),
+                new LoanRequest(1, 2, team, 3, 0.25),
+                new LoanGrant(1, 2, LimitId.link("lima", "trujillo"), 3, 0.25, 4.5, 6, 0.125, List.of("lima-b-1")),
+                new SplitNews("split 1\n"),
+                new OfferRequest(),
+                new ReleaseOffer(4, "digest"),
+                new PieceRequest(List.of("one", "two")),
+                new PieceAnswer("one", new byte[] {3}),
+                new RosterAsk(1, -2),
+                new RosterReply(1, 2, -3, true, false),
+                new LoadReport(List.of(new LoadReport.ServiceLoad("orders", 7, 3, 4))),
+                new ClaimMessage.Ask(1, "key", claimant),
+                new ClaimMessage.Vote(1, "key", claimant, ClaimMessage.Verdict.ANSWERED, Optional.of(kept)),
+                new ClaimMessage.Vote(1, "key", claimant, ClaimMessage.Verdict.PENDING, Optional.empty()),
+                new ClaimMessage.Answered("key", claimant, Optional.of(kept)),
+                new ClaimMessage.Release("key", claimant),
+                new ClaimMessage.CopyAsk(1, 2),
+                new ClaimMessage.Copy(
+                        1, 2, 0, 1, List.of(new ClaimMessage.Copied("key", claimant, true, Optional.of(kept), 9))));
+        for (PeerMessage message : messages) {
+            Envelope envelope = codecs.encode(message).build();
+            assertEquals(message, codecs.decode("peer", envelope).orThrow());
+        }
+    }
+
     @Example
     void twoCodecsMayNotClaimOneNumber() {
         assertThrows(IllegalArgumentException.class, () -> PeerCodecs.of(new MemberCodec(), new MemberCodec()));
@@ -61,7 +109,7 @@
 
     @Provide
     Arbitrary<Integer> kinds() {
-        return Arbitraries.integers().between(10, 18);
+        return Arbitraries.integers().between(10, 66);
     }
 
     @Provide
