Replay the keeper of the roster, and list what fails

An operator whose note failed sends it again: while the platform loses every answer, a piece that is there already cannot be renewed, and the note is not accepted until it ends.

--- a/cli/src/main/java/org/knapweedhatch/cli/replay/HostParts.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/HostParts.java
@@ -22,6 +22,7 @@
 import org.knapweedhatch.member.View;
 import org.knapweedhatch.message.Outgoing;
 import org.knapweedhatch.message.PeerMessage;
+import org.knapweedhatch.platform.ListedHost;
 import org.knapweedhatch.platform.ObjectApi;
 import org.knapweedhatch.platform.Problem;
 import org.knapweedhatch.platform.StoredObject;
@@ -38,6 +39,9 @@
 import org.knapweedhatch.steer.LoadReport;
 import org.knapweedhatch.steer.Roster;
 import org.knapweedhatch.steer.RosterAsk;
+import org.knapweedhatch.steer.RosterCodec;
+import org.knapweedhatch.steer.RosterKeeper;
+import org.knapweedhatch.steer.RosterProposal;
 import org.knapweedhatch.steer.RosterReply;
 import org.knapweedhatch.steer.SlotTerms;
 import org.knapweedhatch.steer.Slots;
@@ -49,11 +53,12 @@
 /** The parts of one process, wired as the daemon wires them: what one decides is told to the others. */
 final class HostParts {
 
-    private static final String SPLIT = "limit/split";
+    private static final String SPLIT = "fleet/split";
     private static final Duration FOLLOWER_TICK = Duration.ofMillis(200);
     private static final Duration WATCH = Duration.ofMillis(500);
     private static final Duration ANSWER_TICK = Duration.ofMillis(10);
     private static final Duration REPORT = Duration.ofMillis(100);
+    private static final Duration HOST_LIST = Duration.ofSeconds(5);
     private static final Duration START_WAIT = Duration.ofSeconds(1);
     private static final Duration LONGEST_REQUEST = Duration.ofSeconds(5);
 
@@ -68,6 +73,7 @@
     private KeyRing keys = KeyRing.empty();
     private Limiter limiter;
     private Slots slots;
+    private RosterKeeper keeper;
     private Steering steering;
     private Claims claims;
     private Answering answering;
@@ -150,6 +156,7 @@
         if (limiter != null) {
             limiter.members(view());
             steering.view(view());
+            keeper.view(view());
         }
     }
 
@@ -170,6 +177,9 @@
                 .links(this::takeLink)
                 .events(events)
                 .build();
+        Duration activeAfter = process.isFirst() ? Duration.ZERO : LONGEST_REQUEST;
+        keeper = RosterKeeper.of(process.host(), incarnation, activeAfter, time);
+        keeper.view(view());
         claims = Claims.of(name, incarnation, process.isFirst(), time);
         answering = Answering.of(steering, claims, time);
         if (configuration.number() > 0) {
@@ -181,7 +191,10 @@
         process.every(ANSWER_TICK, () -> process.desk().perform(answering.tick()));
         process.every(REPORT, this::report);
         process.every(WATCH, this::readSplit);
+        process.every(WATCH, this::readRoster);
+        process.every(HOST_LIST, this::readHosts);
         readSplit();
+        readRoster();
     }
 
     /** Takes bytes that leave this region; the other region takes those of its own way. */
@@ -206,7 +219,7 @@
     private void tickLimiter() {
         process.send(limiter.tick());
         limiter.proposal().ifPresent(this::propose);
-        adoptRoster();
+        keeper.proposal().ifPresent(this::propose);
     }
 
     private void propose(SplitProposal proposal) {
@@ -257,24 +270,46 @@
         splitObject = object.version();
         splitVersion = split.version();
         limiter.split(split);
-        adoptRoster();
     }
 
-    /** Gives the hosts of the split to those who divide targets and claims among them. */
-    private void adoptRoster() {
-        Split split = limiter.split();
-        if (split.version() <= rosterNumber) {
-            return;
-        }
-        rosterNumber = split.version();
-        List<Roster.Entry> entries = split.hosts().values().stream()
-                .map(h -> new Roster.Entry(h.name(), h.region(), h.domain(), h.incarnation(), !h.isFenced()))
-                .toList();
-        Roster roster = Roster.of(split.version(), split.version(), entries);
+    private void readHosts() {
+        this.<List<ListedHost>>call(ObjectApi::hosts, result -> {
+            if (result.isOk()) {
+                keeper.listed(result.orThrow());
+                membership.hints(result.orThrow());
+            }
+        });
+    }
+
+    private void readRoster() {
+        this.<StoredObject>call(api -> api.read(RosterCodec.OBJECT), result -> {
+            if (result.isOk()) {
+                adopt(result.orThrow());
+            } else if (Problem.MISSING.is(result.fault())) {
+                keeper.absent();
+            }
+        });
+    }
+
+    /** Gives the roster to those who divide targets and claims among its hosts. */
+    private void adopt(StoredObject object) {
+        Roster roster = RosterCodec.parse(object.body()).orThrow();
+        keeper.read(roster, object.version());
+        rosterNumber = Math.max(rosterNumber, roster.number());
         slots.adopt(roster);
         claims.adopt(roster);
     }
 
+    private void propose(RosterProposal proposal) {
+        byte[] body = RosterCodec.format(proposal.roster());
+        long expected = proposal.baseVersion();
+        this.<StoredObject>call(
+                api -> expected == 0
+                        ? api.create(RosterCodec.OBJECT, body)
+                        : api.update(RosterCodec.OBJECT, body, expected),
+                result -> readRoster());
+    }
+
     private void readHead() {
         long asked = time.nanos();
         headAskedNanos = asked;
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/Operators.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/Operators.java
@@ -53,7 +53,7 @@
         Acceptance acceptance = store.accept(note, OptionalLong.of(seen));
         note(operator, acceptance.getClass().getSimpleName());
         announce();
-        if (acceptance instanceof Acceptance.Unknown) {
+        if (acceptance instanceof Acceptance.Unknown || acceptance instanceof Acceptance.Failed) {
             stage.queue().after(REPEAT_NANOS, () -> send(operator, change));
         }
     }
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/PlatformDoor.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/PlatformDoor.java
@@ -4,9 +4,11 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.platform.ListedHost;
 import org.knapweedhatch.platform.MemoryPlatform;
 import org.knapweedhatch.platform.ObjectApi;
 import org.knapweedhatch.platform.Problem;
+import org.knapweedhatch.world.Host;
 
 /** The platform as hosts and operators reach it: with the way there and back, outages and lost answers. */
 final class PlatformDoor {
@@ -16,7 +18,6 @@
 
     private final MemoryPlatform platform = MemoryPlatform.create(pause -> {});
     private final Stage stage;
-    private boolean losesAnswers;
     private long slowNanos;
 
     PlatformDoor(Stage stage) {
@@ -33,7 +34,6 @@
     }
 
     void losesAnswers(boolean loses) {
-        losesAnswers = loses;
         platform.loseAnswers(loses ? Integer.MAX_VALUE : 0);
     }
 
@@ -41,8 +41,13 @@
         slowNanos = (long) (millis * NANOS_PER_MILLI);
     }
 
-    boolean isLosingAnswers() {
-        return losesAnswers;
+    /** Adds a host to the host list, or takes it out. */
+    void list(Host host, boolean listed) {
+        if (listed) {
+            platform.listHost(new ListedHost(host, false));
+        } else {
+            platform.unlistHost(host.name());
+        }
     }
 
     /** Makes a call from a failure domain and passes the outcome on after the way back. */
--- a/cli/src/main/java/org/knapweedhatch/cli/replay/RealFleet.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/replay/RealFleet.java
@@ -60,6 +60,7 @@
     private void startProcess(Host host, boolean first) {
         HostProcess process = new HostProcess(host, ++started, first, this);
         processes.put(host.name(), process);
+        platform.list(host, true);
         process.start();
         noteReach();
     }
@@ -171,6 +172,7 @@
 
     private void kill(HostProcess process) {
         process.kill();
+        platform.list(process.host(), false);
         process.desk().cut();
         List<Request> cut = open.values().stream()
                 .filter(request -> openAt.get(request.id()) == process)
--- a/cli/src/test/java/org/knapweedhatch/cli/replay/trace/TraceReaderTest.java
+++ b/cli/src/test/java/org/knapweedhatch/cli/replay/trace/TraceReaderTest.java
@@ -21,6 +21,8 @@
     private static final String ARRIVAL = "{\"type\":\"arrival\",\"atMicros\":5,\"key\":\"key-team-1\","
             + "\"service\":\"orders\",\"region\":\"lima\",\"idempotent\":true,\"workMicros\":30}\n";
 
+    private static final String TEXT = written(Scenario.REGION_DRAIN.trace(Deployment.RAFAGA, 1, 2, 0.01));
+
     @Test
     void everyGeneratedTraceReadsBackAsWritten() throws IOException {
         for (Scenario scenario : Scenario.values()) {
@@ -49,10 +51,9 @@
     void changedTextIsReadOrIsOneFault(
             @ForAll @IntRange(max = 100_000) int at, @ForAll @IntRange(max = 40) int length, @ForAll String put)
             throws IOException {
-        String text = written(Scenario.REGION_DRAIN.trace(Deployment.RAFAGA, 1, 2, 0.01));
-        int from = at % text.length();
-        int to = Math.min(text.length(), from + length);
-        Result<Trace> result = read(text.substring(0, from) + put + text.substring(to));
+        int from = at % TEXT.length();
+        int to = Math.min(TEXT.length(), from + length);
+        Result<Trace> result = read(TEXT.substring(0, from) + put + TEXT.substring(to));
         if (!result.isOk()) {
             assertEquals(Step.TRACE, result.fault().step());
             assertTrue(
