--- a/core/src/main/java/org/knapweedhatch/steer/Slots.java
+++ b/core/src/main/java/org/knapweedhatch/steer/Slots.java
@@ -33,7 +33,6 @@
     private final long incarnation;
     private final TimeSource time;
     private final SlotTerms terms;
-    private final long startedAt;
     private final boolean firstProcess;
     private final Map<String, State> states = new ConcurrentHashMap<>();
     private final Map<String, Boolean> idleHosts = new HashMap<>();
@@ -64,7 +63,6 @@
         this.firstProcess = firstProcess;
         this.terms = Validate.notNull(terms, "terms");
         this.time = Validate.notNull(time, "time");
-        startedAt = time.nanos();
     }
 
     /** Creates the slots of a host that holds none yet; {@code firstProcess} where none ran at its name before. */
@@ -109,7 +107,7 @@
         long now = time.nanos();
         long longest = terms.longestRun().toNanos();
         if (current == null) {
-            return firstProcess ? now : startedAt + longest;
+            return firstProcess || next.lossSince() == 0 ? now : now + longest;
         }
         long quiet = current.standing().quietUntil();
         for (Roster.Entry entry : current.standing().roster().entries().values()) {
@@ -211,6 +209,17 @@
         return now == null ? Optional.empty() : Optional.ofNullable(now.owners().get(target));
     }
 
+    /** Returns whether this host owns a target under the roster in force. */
+    boolean owns(String target) {
+        return self.equals(owners().get(target));
+    }
+
+    /** Returns the owners by target; another map each time that they may have changed. */
+    Map<String, String> owners() {
+        Terms now = current;
+        return now == null ? Map.of() : now.owners();
+    }
+
     /** Returns how much of a target this host may hold now. */
     public Holding holding(Target target) {
         State state = states.computeIfAbsent(target.name(), name -> new State());
