Name the second try of a request for what it does

Cause: two methods named retry took their arguments in different orders. Before and after: 52 of 53 tests of the two rooms pass. RetryBudgetTest fails since retries got a reserve of 10 at start: retries then pass a tenth of the first dispatches, which is the stated bound; the test stays as it is. Conclusion: open; the reserve or the bound has to go.

--- a/core/src/main/java/org/knapweedhatch/answer/Lives.java
+++ b/core/src/main/java/org/knapweedhatch/answer/Lives.java
@@ -186,7 +186,7 @@
         } else if (event instanceof Event.SaidNotRun e && isTrying(life, e.attempt())) {
             boolean charged = life.attempt().target().isPresent();
             finishAttempt(life, TargetResult.SHED, turn);
-            retry(life, !charged || life.head().relayed() || retries.take(), turn, Reason.SHED);
+            placeAgain(life, !charged || life.head().relayed() || retries.take(), Reason.SHED, turn);
         } else if (event instanceof Event.SaidUnknown e && isTrying(life, e.attempt())) {
             abandonAttempt(life, TargetResult.FAILED, turn);
             retry(life, false, turn);
@@ -259,10 +259,11 @@
 
     private void retry(RequestLife life, boolean provedNotRun, Turn turn) {
         boolean allowed = provedNotRun || life.head().idempotent() && retries.take();
-        retry(life, allowed, turn, provedNotRun ? Reason.SHED : Reason.LOST);
+        placeAgain(life, allowed, provedNotRun ? Reason.SHED : Reason.LOST, turn);
     }
 
-    private void retry(RequestLife life, boolean allowed, Turn turn, Reason otherwise) {
+    /** Tries a request again where that is allowed and there is time, and refuses it otherwise. */
+    private void placeAgain(RequestLife life, boolean allowed, Reason otherwise, Turn turn) {
         boolean inTime = time.nanos() < life.head().deadlineNanos();
         if (allowed && inTime && !life.head().relayed() && life.attempts() < MOST_ATTEMPTS) {
             place(life, turn);
