Carry loan numbers and releases between hosts

Cause: loans are numbered by their lender and can be given back, which the codec did not know; the daemon did not compile against the limits. Before: two compile errors. After: the daemon compiles; its tests were not run on this commit. Conclusion: field 9 of the grant is reserved, message kind 24 is the release.

--- a/daemon/src/main/java/org/knapweedhatch/peer/LimitCodec.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/LimitCodec.java
@@ -5,11 +5,13 @@
 import org.knapweedhatch.limit.Confirm;
 import org.knapweedhatch.limit.LimitId;
 import org.knapweedhatch.limit.LoanGrant;
+import org.knapweedhatch.limit.LoanRelease;
 import org.knapweedhatch.limit.LoanRequest;
 import org.knapweedhatch.limit.SplitNews;
 import org.knapweedhatch.peer.proto.ConfirmRecord;
 import org.knapweedhatch.peer.proto.LimitRecord;
 import org.knapweedhatch.peer.proto.LoanGrantRecord;
+import org.knapweedhatch.peer.proto.LoanReleaseRecord;
 import org.knapweedhatch.peer.proto.LoanRequestRecord;
 import org.knapweedhatch.peer.proto.SplitNewsRecord;
 
@@ -27,8 +29,12 @@
                         21, LoanRequest.class, LimitCodec::request, body -> request(LoanRequestRecord.parseFrom(body))),
                 new MessageKind<>(
                         22, LoanGrant.class, LimitCodec::grant, body -> grant(LoanGrantRecord.parseFrom(body))),
+                new MessageKind<>(23, SplitNews.class, LimitCodec::news, body -> news(SplitNewsRecord.parseFrom(body))),
                 new MessageKind<>(
-                        23, SplitNews.class, LimitCodec::news, body -> news(SplitNewsRecord.parseFrom(body))));
+                        24,
+                        LoanRelease.class,
+                        LimitCodec::release,
+                        body -> release(LoanReleaseRecord.parseFrom(body))));
     }
 
     private static ConfirmRecord confirm(Confirm message) {
@@ -83,7 +89,7 @@
                 .setTokens(message.tokens())
                 .setLeaseNanos(message.leaseNanos())
                 .setSpare(message.spare())
-                .addAllBorrowers(message.borrowers())
+                .setLoan(message.loan())
                 .build();
     }
 
@@ -92,12 +98,33 @@
                 record.getId(),
                 record.getIncarnation(),
                 limit(record.getLimit()),
+                record.getLoan(),
                 record.getRenews(),
                 amount(record.getShare(), "share"),
                 amount(record.getTokens(), "tokens"),
                 Validate.notNegative(record.getLeaseNanos(), "lease"),
-                amount(record.getSpare(), "spare"),
-                record.getBorrowersList());
+                amount(record.getSpare(), "spare"));
+    }
+
+    private static LoanReleaseRecord release(LoanRelease message) {
+        return LoanReleaseRecord.newBuilder()
+                .setId(message.id())
+                .setIncarnation(message.incarnation())
+                .setLimit(limit(message.limit()))
+                .setLoan(message.loan())
+                .setShare(message.share())
+                .setTokens(message.tokens())
+                .build();
+    }
+
+    private static LoanRelease release(LoanReleaseRecord record) {
+        return new LoanRelease(
+                record.getId(),
+                record.getIncarnation(),
+                limit(record.getLimit()),
+                record.getLoan(),
+                amount(record.getShare(), "share"),
+                amount(record.getTokens(), "tokens"));
     }
 
     private static SplitNewsRecord news(SplitNews message) {
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/Rooms.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/Rooms.java
@@ -46,6 +46,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_knapweedhatch_LoanGrantRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_knapweedhatch_LoanReleaseRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_knapweedhatch_LoanReleaseRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_knapweedhatch_SplitNewsRecord_descriptor;
   static final 
@@ -153,51 +158,55 @@
       "\031\n\021heard_incarnation\030\007 \001(\004\"~\n\021LoanReques" +
       "tRecord\022\n\n\002id\030\001 \001(\004\022\023\n\013incarnation\030\002 \001(\004" +
       "\022)\n\005limit\030\003 \001(\0132\032.knapweedhatch.LimitRec" +
-      "ord\022\016\n\006renews\030\004 \001(\004\022\r\n\005share\030\005 \001(\001\"\303\001\n\017L" +
+      "ord\022\016\n\006renews\030\004 \001(\004\022\r\n\005share\030\005 \001(\001\"\304\001\n\017L" +
       "oanGrantRecord\022\n\n\002id\030\001 \001(\004\022\023\n\013incarnatio" +
       "n\030\002 \001(\004\022)\n\005limit\030\003 \001(\0132\032.knapweedhatch.L" +
       "imitRecord\022\016\n\006renews\030\004 \001(\004\022\r\n\005share\030\005 \001(" +
       "\001\022\016\n\006tokens\030\006 \001(\001\022\023\n\013lease_nanos\030\007 \001(\004\022\r" +
-      "\n\005spare\030\010 \001(\001\022\021\n\tborrowers\030\t \003(\t\"\037\n\017Spli" +
-      "tNewsRecord\022\014\n\004text\030\001 \001(\t\"\024\n\022OfferReques" +
-      "tRecord\"6\n\022ReleaseOfferRecord\022\016\n\006number\030" +
-      "\001 \001(\004\022\020\n\010manifest\030\002 \001(\t\"%\n\022PieceRequestR" +
-      "ecord\022\017\n\007digests\030\001 \003(\t\"1\n\021PieceAnswerRec" +
-      "ord\022\016\n\006digest\030\001 \001(\t\022\014\n\004body\030\002 \001(\014\"5\n\017Ros" +
-      "terAskRecord\022\016\n\006roster\030\001 \001(\004\022\022\n\nsent_nan" +
-      "os\030\002 \001(\020\"l\n\021RosterReplyRecord\022\023\n\013incarna" +
-      "tion\030\001 \001(\004\022\016\n\006roster\030\002 \001(\004\022\022\n\nsent_nanos" +
-      "\030\003 \001(\020\022\020\n\010conceded\030\004 \001(\010\022\014\n\004idle\030\005 \001(\010\"X" +
-      "\n\021ServiceLoadRecord\022\017\n\007service\030\001 \001(\t\022\020\n\010" +
-      "capacity\030\002 \001(\r\022\014\n\004free\030\003 \001(\021\022\022\n\nwait_nan" +
-      "os\030\004 \001(\004\"F\n\020LoadReportRecord\0222\n\010services" +
-      "\030\001 \003(\0132 .knapweedhatch.ServiceLoadRecord" +
-      "\"D\n\016ClaimantRecord\022\014\n\004host\030\001 \001(\t\022\023\n\013inca" +
-      "rnation\030\002 \001(\004\022\017\n\007request\030\003 \001(\004\"F\n\020KeptAn" +
-      "swerRecord\022\016\n\006status\030\001 \001(\r\022\024\n\014content_ty" +
-      "pe\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"^\n\016ClaimAskRecord" +
-      "\022\016\n\006roster\030\001 \001(\004\022\013\n\003key\030\002 \001(\t\022/\n\010claiman" +
-      "t\030\003 \001(\0132\035.knapweedhatch.ClaimantRecord\"\241" +
-      "\001\n\017ClaimVoteRecord\022\016\n\006roster\030\001 \001(\004\022\013\n\003ke" +
-      "y\030\002 \001(\t\022/\n\010claimant\030\003 \001(\0132\035.knapweedhatc" +
-      "h.ClaimantRecord\022\017\n\007verdict\030\004 \001(\r\022/\n\006ans" +
-      "wer\030\005 \001(\0132\037.knapweedhatch.KeptAnswerReco" +
-      "rd\"\204\001\n\023ClaimAnsweredRecord\022\013\n\003key\030\001 \001(\t\022" +
-      "/\n\010claimant\030\002 \001(\0132\035.knapweedhatch.Claima" +
-      "ntRecord\022/\n\006answer\030\003 \001(\0132\037.knapweedhatch" +
-      ".KeptAnswerRecord\"R\n\022ClaimReleaseRecord\022" +
-      "\013\n\003key\030\001 \001(\t\022/\n\010claimant\030\002 \001(\0132\035.knapwee" +
-      "dhatch.ClaimantRecord\"1\n\022ClaimCopyAskRec" +
-      "ord\022\016\n\006roster\030\001 \001(\004\022\013\n\003ask\030\002 \001(\004\"\247\001\n\021Cop" +
-      "iedClaimRecord\022\013\n\003key\030\001 \001(\t\022/\n\010claimant\030" +
-      "\002 \001(\0132\035.knapweedhatch.ClaimantRecord\022\020\n\010" +
-      "answered\030\003 \001(\010\022/\n\006answer\030\004 \001(\0132\037.knapwee" +
-      "dhatch.KeptAnswerRecord\022\021\n\tage_nanos\030\005 \001" +
-      "(\004\"\216\001\n\017ClaimCopyRecord\022\016\n\006roster\030\001 \001(\004\022\013" +
-      "\n\003ask\030\002 \001(\004\022\014\n\004part\030\003 \001(\r\022\r\n\005parts\030\004 \001(\r" +
-      "\0220\n\006claims\030\005 \003(\0132 .knapweedhatch.CopiedC" +
-      "laimRecord\022\017\n\007settled\030\006 \001(\010B \n\034org.knapw" +
-      "eedhatch.peer.protoP\001b\006proto3"
+      "\n\005spare\030\010 \001(\001\022\014\n\004loan\030\n \001(\004J\004\010\t\020\n\"\214\001\n\021Lo" +
+      "anReleaseRecord\022\n\n\002id\030\001 \001(\004\022\023\n\013incarnati" +
+      "on\030\002 \001(\004\022)\n\005limit\030\003 \001(\0132\032.knapweedhatch." +
+      "LimitRecord\022\014\n\004loan\030\004 \001(\004\022\r\n\005share\030\005 \001(\001" +
+      "\022\016\n\006tokens\030\006 \001(\001\"\037\n\017SplitNewsRecord\022\014\n\004t" +
+      "ext\030\001 \001(\t\"\024\n\022OfferRequestRecord\"6\n\022Relea" +
+      "seOfferRecord\022\016\n\006number\030\001 \001(\004\022\020\n\010manifes" +
+      "t\030\002 \001(\t\"%\n\022PieceRequestRecord\022\017\n\007digests" +
+      "\030\001 \003(\t\"1\n\021PieceAnswerRecord\022\016\n\006digest\030\001 " +
+      "\001(\t\022\014\n\004body\030\002 \001(\014\"5\n\017RosterAskRecord\022\016\n\006" +
+      "roster\030\001 \001(\004\022\022\n\nsent_nanos\030\002 \001(\020\"l\n\021Rost" +
+      "erReplyRecord\022\023\n\013incarnation\030\001 \001(\004\022\016\n\006ro" +
+      "ster\030\002 \001(\004\022\022\n\nsent_nanos\030\003 \001(\020\022\020\n\010conced" +
+      "ed\030\004 \001(\010\022\014\n\004idle\030\005 \001(\010\"X\n\021ServiceLoadRec" +
+      "ord\022\017\n\007service\030\001 \001(\t\022\020\n\010capacity\030\002 \001(\r\022\014" +
+      "\n\004free\030\003 \001(\021\022\022\n\nwait_nanos\030\004 \001(\004\"F\n\020Load" +
+      "ReportRecord\0222\n\010services\030\001 \003(\0132 .knapwee" +
+      "dhatch.ServiceLoadRecord\"D\n\016ClaimantReco" +
+      "rd\022\014\n\004host\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\017\n" +
+      "\007request\030\003 \001(\004\"F\n\020KeptAnswerRecord\022\016\n\006st" +
+      "atus\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body" +
+      "\030\003 \001(\014\"^\n\016ClaimAskRecord\022\016\n\006roster\030\001 \001(\004" +
+      "\022\013\n\003key\030\002 \001(\t\022/\n\010claimant\030\003 \001(\0132\035.knapwe" +
+      "edhatch.ClaimantRecord\"\241\001\n\017ClaimVoteReco" +
+      "rd\022\016\n\006roster\030\001 \001(\004\022\013\n\003key\030\002 \001(\t\022/\n\010claim" +
+      "ant\030\003 \001(\0132\035.knapweedhatch.ClaimantRecord" +
+      "\022\017\n\007verdict\030\004 \001(\r\022/\n\006answer\030\005 \001(\0132\037.knap" +
+      "weedhatch.KeptAnswerRecord\"\204\001\n\023ClaimAnsw" +
+      "eredRecord\022\013\n\003key\030\001 \001(\t\022/\n\010claimant\030\002 \001(" +
+      "\0132\035.knapweedhatch.ClaimantRecord\022/\n\006answ" +
+      "er\030\003 \001(\0132\037.knapweedhatch.KeptAnswerRecor" +
+      "d\"R\n\022ClaimReleaseRecord\022\013\n\003key\030\001 \001(\t\022/\n\010" +
+      "claimant\030\002 \001(\0132\035.knapweedhatch.ClaimantR" +
+      "ecord\"1\n\022ClaimCopyAskRecord\022\016\n\006roster\030\001 " +
+      "\001(\004\022\013\n\003ask\030\002 \001(\004\"\247\001\n\021CopiedClaimRecord\022\013" +
+      "\n\003key\030\001 \001(\t\022/\n\010claimant\030\002 \001(\0132\035.knapweed" +
+      "hatch.ClaimantRecord\022\020\n\010answered\030\003 \001(\010\022/" +
+      "\n\006answer\030\004 \001(\0132\037.knapweedhatch.KeptAnswe" +
+      "rRecord\022\021\n\tage_nanos\030\005 \001(\004\"\216\001\n\017ClaimCopy" +
+      "Record\022\016\n\006roster\030\001 \001(\004\022\013\n\003ask\030\002 \001(\004\022\014\n\004p" +
+      "art\030\003 \001(\r\022\r\n\005parts\030\004 \001(\r\0220\n\006claims\030\005 \003(\013" +
+      "2 .knapweedhatch.CopiedClaimRecord\022\017\n\007se" +
+      "ttled\030\006 \001(\010B \n\034org.knapweedhatch.peer.pr" +
+      "otoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -226,111 +235,117 @@
     internal_static_knapweedhatch_LoanGrantRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_LoanGrantRecord_descriptor,
-        new java.lang.String[] { "Id", "Incarnation", "Limit", "Renews", "Share", "Tokens", "LeaseNanos", "Spare", "Borrowers", });
-    internal_static_knapweedhatch_SplitNewsRecord_descriptor =
+        new java.lang.String[] { "Id", "Incarnation", "Limit", "Renews", "Share", "Tokens", "LeaseNanos", "Spare", "Loan", });
+    internal_static_knapweedhatch_LoanReleaseRecord_descriptor =
       getDescriptor().getMessageType(4);
+    internal_static_knapweedhatch_LoanReleaseRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_knapweedhatch_LoanReleaseRecord_descriptor,
+        new java.lang.String[] { "Id", "Incarnation", "Limit", "Loan", "Share", "Tokens", });
+    internal_static_knapweedhatch_SplitNewsRecord_descriptor =
+      getDescriptor().getMessageType(5);
     internal_static_knapweedhatch_SplitNewsRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_SplitNewsRecord_descriptor,
         new java.lang.String[] { "Text", });
     internal_static_knapweedhatch_OfferRequestRecord_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_knapweedhatch_OfferRequestRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_OfferRequestRecord_descriptor,
         new java.lang.String[] { });
     internal_static_knapweedhatch_ReleaseOfferRecord_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_knapweedhatch_ReleaseOfferRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_ReleaseOfferRecord_descriptor,
         new java.lang.String[] { "Number", "Manifest", });
     internal_static_knapweedhatch_PieceRequestRecord_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_knapweedhatch_PieceRequestRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_PieceRequestRecord_descriptor,
         new java.lang.String[] { "Digests", });
     internal_static_knapweedhatch_PieceAnswerRecord_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_knapweedhatch_PieceAnswerRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_PieceAnswerRecord_descriptor,
         new java.lang.String[] { "Digest", "Body", });
     internal_static_knapweedhatch_RosterAskRecord_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_knapweedhatch_RosterAskRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_RosterAskRecord_descriptor,
         new java.lang.String[] { "Roster", "SentNanos", });
     internal_static_knapweedhatch_RosterReplyRecord_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_knapweedhatch_RosterReplyRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_RosterReplyRecord_descriptor,
         new java.lang.String[] { "Incarnation", "Roster", "SentNanos", "Conceded", "Idle", });
     internal_static_knapweedhatch_ServiceLoadRecord_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_knapweedhatch_ServiceLoadRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_ServiceLoadRecord_descriptor,
         new java.lang.String[] { "Service", "Capacity", "Free", "WaitNanos", });
     internal_static_knapweedhatch_LoadReportRecord_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_knapweedhatch_LoadReportRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_LoadReportRecord_descriptor,
         new java.lang.String[] { "Services", });
     internal_static_knapweedhatch_ClaimantRecord_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_knapweedhatch_ClaimantRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_ClaimantRecord_descriptor,
         new java.lang.String[] { "Host", "Incarnation", "Request", });
     internal_static_knapweedhatch_KeptAnswerRecord_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_knapweedhatch_KeptAnswerRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_KeptAnswerRecord_descriptor,
         new java.lang.String[] { "Status", "ContentType", "Body", });
     internal_static_knapweedhatch_ClaimAskRecord_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_knapweedhatch_ClaimAskRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_ClaimAskRecord_descriptor,
         new java.lang.String[] { "Roster", "Key", "Claimant", });
     internal_static_knapweedhatch_ClaimVoteRecord_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_knapweedhatch_ClaimVoteRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_ClaimVoteRecord_descriptor,
         new java.lang.String[] { "Roster", "Key", "Claimant", "Verdict", "Answer", });
     internal_static_knapweedhatch_ClaimAnsweredRecord_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_knapweedhatch_ClaimAnsweredRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_ClaimAnsweredRecord_descriptor,
         new java.lang.String[] { "Key", "Claimant", "Answer", });
     internal_static_knapweedhatch_ClaimReleaseRecord_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_knapweedhatch_ClaimReleaseRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_ClaimReleaseRecord_descriptor,
         new java.lang.String[] { "Key", "Claimant", });
     internal_static_knapweedhatch_ClaimCopyAskRecord_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_knapweedhatch_ClaimCopyAskRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_ClaimCopyAskRecord_descriptor,
         new java.lang.String[] { "Roster", "Ask", });
     internal_static_knapweedhatch_CopiedClaimRecord_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_knapweedhatch_CopiedClaimRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_CopiedClaimRecord_descriptor,
         new java.lang.String[] { "Key", "Claimant", "Answered", "Answer", "AgeNanos", });
     internal_static_knapweedhatch_ClaimCopyRecord_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_knapweedhatch_ClaimCopyRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_ClaimCopyRecord_descriptor,
