--- a/daemon/src/main/java/org/knapweedhatch/peer/LimitCodec.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/LimitCodec.java
@@ -83,7 +83,7 @@
                 .setTokens(message.tokens())
                 .setLeaseNanos(message.leaseNanos())
                 .setSpare(message.spare())
-                .addAllBorrowers(message.borrowers())
+                .setLoan(message.loan())
                 .build();
     }
 
@@ -92,12 +92,12 @@
                 record.getId(),
                 record.getIncarnation(),
                 limit(record.getLimit()),
+                record.getLoan(),
                 record.getRenews(),
                 amount(record.getShare(), "share"),
                 amount(record.getTokens(), "tokens"),
                 Validate.notNegative(record.getLeaseNanos(), "lease"),
-                amount(record.getSpare(), "spare"),
-                record.getBorrowersList());
+                amount(record.getSpare(), "spare"));
     }
 
     private static SplitNewsRecord news(SplitNews message) {
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/LoanGrantRecord.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/LoanGrantRecord.java
@@ -28,8 +28,6 @@
     super(builder);
   }
   private LoanGrantRecord() {
-    borrowers_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -154,41 +152,15 @@
     return spare_;
   }
 
-  public static final int BORROWERS_FIELD_NUMBER = 9;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.LazyStringArrayList borrowers_ =
-      com.google.protobuf.LazyStringArrayList.emptyList();
+  public static final int LOAN_FIELD_NUMBER = 9;
+  private long loan_ = 0L;
   /**
-   * <code>repeated string borrowers = 9;</code>
-   * @return A list containing the borrowers.
+   * <code>uint64 loan = 9;</code>
+   * @return The loan.
    */
-  public com.google.protobuf.ProtocolStringList
-      getBorrowersList() {
-    return borrowers_;
-  }
-  /**
-   * <code>repeated string borrowers = 9;</code>
-   * @return The count of borrowers.
-   */
-  public int getBorrowersCount() {
-    return borrowers_.size();
-  }
-  /**
-   * <code>repeated string borrowers = 9;</code>
-   * @param index The index of the element to return.
-   * @return The borrowers at the given index.
-   */
-  public java.lang.String getBorrowers(int index) {
-    return borrowers_.get(index);
-  }
-  /**
-   * <code>repeated string borrowers = 9;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the borrowers at the given index.
-   */
-  public com.google.protobuf.ByteString
-      getBorrowersBytes(int index) {
-    return borrowers_.getByteString(index);
+  @java.lang.Override
+  public long getLoan() {
+    return loan_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -229,8 +201,8 @@
     if (java.lang.Double.doubleToRawLongBits(spare_) != 0) {
       output.writeDouble(8, spare_);
     }
-    for (int i = 0; i < borrowers_.size(); i++) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 9, borrowers_.getRaw(i));
+    if (loan_ != 0L) {
+      output.writeUInt64(9, loan_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -268,13 +240,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(8, spare_);
     }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < borrowers_.size(); i++) {
-        dataSize += computeStringSizeNoTag(borrowers_.getRaw(i));
-      }
-      size += dataSize;
-      size += 1 * getBorrowersList().size();
+    if (loan_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, loan_);
     }
     return size;
   }
@@ -322,8 +290,8 @@
     if (java.lang.Double.doubleToLongBits(getSpare())
         != java.lang.Double.doubleToLongBits(
             other.getSpare())) return false;
-    if (!getBorrowersList()
-        .equals(other.getBorrowersList())) return false;
+    if (getLoan()
+        != other.getLoan()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -360,10 +328,9 @@
     hash = (37 * hash) + SPARE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getSpare()));
-    if (getBorrowersCount() > 0) {
-      hash = (37 * hash) + BORROWERS_FIELD_NUMBER;
-      hash = (53 * hash) + getBorrowersList().hashCode();
-    }
+    hash = (37 * hash) + LOAN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLoan());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -513,8 +480,7 @@
       tokens_ = 0D;
       leaseNanos_ = 0L;
       spare_ = 0D;
-      borrowers_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
+      loan_ = 0L;
       return this;
     }
 
@@ -577,8 +543,7 @@
         result.spare_ = spare_;
       }
       if (((from_bitField0_ & 0x00000100) != 0)) {
-        borrowers_.makeImmutable();
-        result.borrowers_ = borrowers_;
+        result.loan_ = loan_;
       }
       result.bitField0_ |= to_bitField0_;
     }
@@ -619,15 +584,8 @@
       if (java.lang.Double.doubleToRawLongBits(other.getSpare()) != 0) {
         setSpare(other.getSpare());
       }
-      if (!other.borrowers_.isEmpty()) {
-        if (borrowers_.isEmpty()) {
-          borrowers_ = other.borrowers_;
-          bitField0_ |= 0x00000100;
-        } else {
-          ensureBorrowersIsMutable();
-          borrowers_.addAll(other.borrowers_);
-        }
-        onChanged();
+      if (other.getLoan() != 0L) {
+        setLoan(other.getLoan());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -695,11 +653,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 65
-            case 74: {
-              ensureBorrowersIsMutable();
-              borrowers_.add(input.readStringRequireUtf8());
+            case 72: {
+              loan_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
               break;
-            } // case 74
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1060,113 +1018,34 @@
       return this;
     }
 
-    private com.google.protobuf.LazyStringArrayList borrowers_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-    private void ensureBorrowersIsMutable() {
-      if (!borrowers_.isModifiable()) {
-        borrowers_ = new com.google.protobuf.LazyStringArrayList(borrowers_);
-      }
-      bitField0_ |= 0x00000100;
-    }
-    /**
-     * <code>repeated string borrowers = 9;</code>
-     * @return A list containing the borrowers.
-     */
-    public com.google.protobuf.ProtocolStringList
-        getBorrowersList() {
-      borrowers_.makeImmutable();
-      return borrowers_;
-    }
-    /**
-     * <code>repeated string borrowers = 9;</code>
-     * @return The count of borrowers.
-     */
-    public int getBorrowersCount() {
-      return borrowers_.size();
-    }
+    private long loan_ ;
     /**
-     * <code>repeated string borrowers = 9;</code>
-     * @param index The index of the element to return.
-     * @return The borrowers at the given index.
+     * <code>uint64 loan = 9;</code>
+     * @return The loan.
      */
-    public java.lang.String getBorrowers(int index) {
-      return borrowers_.get(index);
-    }
-    /**
-     * <code>repeated string borrowers = 9;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the borrowers at the given index.
-     */
-    public com.google.protobuf.ByteString
-        getBorrowersBytes(int index) {
-      return borrowers_.getByteString(index);
-    }
-    /**
-     * <code>repeated string borrowers = 9;</code>
-     * @param index The index to set the value at.
-     * @param value The borrowers to set.
-     * @return This builder for chaining.
-     */
-    public Builder setBorrowers(
-        int index, java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      ensureBorrowersIsMutable();
-      borrowers_.set(index, value);
-      bitField0_ |= 0x00000100;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string borrowers = 9;</code>
-     * @param value The borrowers to add.
-     * @return This builder for chaining.
-     */
-    public Builder addBorrowers(
-        java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      ensureBorrowersIsMutable();
-      borrowers_.add(value);
-      bitField0_ |= 0x00000100;
-      onChanged();
-      return this;
+    @java.lang.Override
+    public long getLoan() {
+      return loan_;
     }
     /**
-     * <code>repeated string borrowers = 9;</code>
-     * @param values The borrowers to add.
+     * <code>uint64 loan = 9;</code>
+     * @param value The loan to set.
      * @return This builder for chaining.
      */
-    public Builder addAllBorrowers(
-        java.lang.Iterable<java.lang.String> values) {
-      ensureBorrowersIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, borrowers_);
+    public Builder setLoan(long value) {
+
+      loan_ = value;
       bitField0_ |= 0x00000100;
       onChanged();
       return this;
     }
     /**
-     * <code>repeated string borrowers = 9;</code>
+     * <code>uint64 loan = 9;</code>
      * @return This builder for chaining.
      */
-    public Builder clearBorrowers() {
-      borrowers_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-      bitField0_ = (bitField0_ & ~0x00000100);;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string borrowers = 9;</code>
-     * @param value The bytes of the borrowers to add.
-     * @return This builder for chaining.
-     */
-    public Builder addBorrowersBytes(
-        com.google.protobuf.ByteString value) {
-      java.util.Objects.requireNonNull(value);
-      checkByteStringIsUtf8(value);
-      ensureBorrowersIsMutable();
-      borrowers_.add(value);
-      bitField0_ |= 0x00000100;
+    public Builder clearLoan() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      loan_ = 0L;
       onChanged();
       return this;
     }
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/LoanGrantRecordOrBuilder.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/LoanGrantRecordOrBuilder.java
@@ -68,27 +68,8 @@
   double getSpare();
 
   /**
-   * <code>repeated string borrowers = 9;</code>
-   * @return A list containing the borrowers.
+   * <code>uint64 loan = 9;</code>
+   * @return The loan.
    */
-  java.util.List<java.lang.String>
-      getBorrowersList();
-  /**
-   * <code>repeated string borrowers = 9;</code>
-   * @return The count of borrowers.
-   */
-  int getBorrowersCount();
-  /**
-   * <code>repeated string borrowers = 9;</code>
-   * @param index The index of the element to return.
-   * @return The borrowers at the given index.
-   */
-  java.lang.String getBorrowers(int index);
-  /**
-   * <code>repeated string borrowers = 9;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the borrowers at the given index.
-   */
-  com.google.protobuf.ByteString
-      getBorrowersBytes(int index);
+  long getLoan();
 }
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/Rooms.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/Rooms.java
@@ -153,51 +153,51 @@
       "\031\n\021heard_incarnation\030\007 \001(\004\"~\n\021LoanReques" +
       "tRecord\022\n\n\002id\030\001 \001(\004\022\023\n\013incarnation\030\002 \001(\004" +
       "\022)\n\005limit\030\003 \001(\0132\032.knapweedhatch.LimitRec" +
-      "ord\022\016\n\006renews\030\004 \001(\004\022\r\n\005share\030\005 \001(\001\"\303\001\n\017L" +
+      "ord\022\016\n\006renews\030\004 \001(\004\022\r\n\005share\030\005 \001(\001\"\276\001\n\017L" +
       "oanGrantRecord\022\n\n\002id\030\001 \001(\004\022\023\n\013incarnatio" +
       "n\030\002 \001(\004\022)\n\005limit\030\003 \001(\0132\032.knapweedhatch.L" +
       "imitRecord\022\016\n\006renews\030\004 \001(\004\022\r\n\005share\030\005 \001(" +
       "\001\022\016\n\006tokens\030\006 \001(\001\022\023\n\013lease_nanos\030\007 \001(\004\022\r" +
-      "\n\005spare\030\010 \001(\001\022\021\n\tborrowers\030\t \003(\t\"\037\n\017Spli" +
-      "tNewsRecord\022\014\n\004text\030\001 \001(\t\"\024\n\022OfferReques" +
-      "tRecord\"6\n\022ReleaseOfferRecord\022\016\n\006number\030" +
-      "\001 \001(\004\022\020\n\010manifest\030\002 \001(\t\"%\n\022PieceRequestR" +
-      "ecord\022\017\n\007digests\030\001 \003(\t\"1\n\021PieceAnswerRec" +
-      "ord\022\016\n\006digest\030\001 \001(\t\022\014\n\004body\030\002 \001(\014\"5\n\017Ros" +
-      "terAskRecord\022\016\n\006roster\030\001 \001(\004\022\022\n\nsent_nan" +
-      "os\030\002 \001(\020\"l\n\021RosterReplyRecord\022\023\n\013incarna" +
-      "tion\030\001 \001(\004\022\016\n\006roster\030\002 \001(\004\022\022\n\nsent_nanos" +
-      "\030\003 \001(\020\022\020\n\010conceded\030\004 \001(\010\022\014\n\004idle\030\005 \001(\010\"X" +
-      "\n\021ServiceLoadRecord\022\017\n\007service\030\001 \001(\t\022\020\n\010" +
-      "capacity\030\002 \001(\r\022\014\n\004free\030\003 \001(\021\022\022\n\nwait_nan" +
-      "os\030\004 \001(\004\"F\n\020LoadReportRecord\0222\n\010services" +
-      "\030\001 \003(\0132 .knapweedhatch.ServiceLoadRecord" +
-      "\"D\n\016ClaimantRecord\022\014\n\004host\030\001 \001(\t\022\023\n\013inca" +
-      "rnation\030\002 \001(\004\022\017\n\007request\030\003 \001(\004\"F\n\020KeptAn" +
-      "swerRecord\022\016\n\006status\030\001 \001(\r\022\024\n\014content_ty" +
-      "pe\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"^\n\016ClaimAskRecord" +
-      "\022\016\n\006roster\030\001 \001(\004\022\013\n\003key\030\002 \001(\t\022/\n\010claiman" +
-      "t\030\003 \001(\0132\035.knapweedhatch.ClaimantRecord\"\241" +
-      "\001\n\017ClaimVoteRecord\022\016\n\006roster\030\001 \001(\004\022\013\n\003ke" +
-      "y\030\002 \001(\t\022/\n\010claimant\030\003 \001(\0132\035.knapweedhatc" +
-      "h.ClaimantRecord\022\017\n\007verdict\030\004 \001(\r\022/\n\006ans" +
-      "wer\030\005 \001(\0132\037.knapweedhatch.KeptAnswerReco" +
-      "rd\"\204\001\n\023ClaimAnsweredRecord\022\013\n\003key\030\001 \001(\t\022" +
-      "/\n\010claimant\030\002 \001(\0132\035.knapweedhatch.Claima" +
-      "ntRecord\022/\n\006answer\030\003 \001(\0132\037.knapweedhatch" +
-      ".KeptAnswerRecord\"R\n\022ClaimReleaseRecord\022" +
-      "\013\n\003key\030\001 \001(\t\022/\n\010claimant\030\002 \001(\0132\035.knapwee" +
-      "dhatch.ClaimantRecord\"1\n\022ClaimCopyAskRec" +
-      "ord\022\016\n\006roster\030\001 \001(\004\022\013\n\003ask\030\002 \001(\004\"\247\001\n\021Cop" +
-      "iedClaimRecord\022\013\n\003key\030\001 \001(\t\022/\n\010claimant\030" +
-      "\002 \001(\0132\035.knapweedhatch.ClaimantRecord\022\020\n\010" +
-      "answered\030\003 \001(\010\022/\n\006answer\030\004 \001(\0132\037.knapwee" +
-      "dhatch.KeptAnswerRecord\022\021\n\tage_nanos\030\005 \001" +
-      "(\004\"\216\001\n\017ClaimCopyRecord\022\016\n\006roster\030\001 \001(\004\022\013" +
-      "\n\003ask\030\002 \001(\004\022\014\n\004part\030\003 \001(\r\022\r\n\005parts\030\004 \001(\r" +
-      "\0220\n\006claims\030\005 \003(\0132 .knapweedhatch.CopiedC" +
-      "laimRecord\022\017\n\007settled\030\006 \001(\010B \n\034org.knapw" +
-      "eedhatch.peer.protoP\001b\006proto3"
+      "\n\005spare\030\010 \001(\001\022\014\n\004loan\030\t \001(\004\"\037\n\017SplitNews" +
+      "Record\022\014\n\004text\030\001 \001(\t\"\024\n\022OfferRequestReco" +
+      "rd\"6\n\022ReleaseOfferRecord\022\016\n\006number\030\001 \001(\004" +
+      "\022\020\n\010manifest\030\002 \001(\t\"%\n\022PieceRequestRecord" +
+      "\022\017\n\007digests\030\001 \003(\t\"1\n\021PieceAnswerRecord\022\016" +
+      "\n\006digest\030\001 \001(\t\022\014\n\004body\030\002 \001(\014\"5\n\017RosterAs" +
+      "kRecord\022\016\n\006roster\030\001 \001(\004\022\022\n\nsent_nanos\030\002 " +
+      "\001(\020\"l\n\021RosterReplyRecord\022\023\n\013incarnation\030" +
+      "\001 \001(\004\022\016\n\006roster\030\002 \001(\004\022\022\n\nsent_nanos\030\003 \001(" +
+      "\020\022\020\n\010conceded\030\004 \001(\010\022\014\n\004idle\030\005 \001(\010\"X\n\021Ser" +
+      "viceLoadRecord\022\017\n\007service\030\001 \001(\t\022\020\n\010capac" +
+      "ity\030\002 \001(\r\022\014\n\004free\030\003 \001(\021\022\022\n\nwait_nanos\030\004 " +
+      "\001(\004\"F\n\020LoadReportRecord\0222\n\010services\030\001 \003(" +
+      "\0132 .knapweedhatch.ServiceLoadRecord\"D\n\016C" +
+      "laimantRecord\022\014\n\004host\030\001 \001(\t\022\023\n\013incarnati" +
+      "on\030\002 \001(\004\022\017\n\007request\030\003 \001(\004\"F\n\020KeptAnswerR" +
+      "ecord\022\016\n\006status\030\001 \001(\r\022\024\n\014content_type\030\002 " +
+      "\001(\t\022\014\n\004body\030\003 \001(\014\"^\n\016ClaimAskRecord\022\016\n\006r" +
+      "oster\030\001 \001(\004\022\013\n\003key\030\002 \001(\t\022/\n\010claimant\030\003 \001" +
+      "(\0132\035.knapweedhatch.ClaimantRecord\"\241\001\n\017Cl" +
+      "aimVoteRecord\022\016\n\006roster\030\001 \001(\004\022\013\n\003key\030\002 \001" +
+      "(\t\022/\n\010claimant\030\003 \001(\0132\035.knapweedhatch.Cla" +
+      "imantRecord\022\017\n\007verdict\030\004 \001(\r\022/\n\006answer\030\005" +
+      " \001(\0132\037.knapweedhatch.KeptAnswerRecord\"\204\001" +
+      "\n\023ClaimAnsweredRecord\022\013\n\003key\030\001 \001(\t\022/\n\010cl" +
+      "aimant\030\002 \001(\0132\035.knapweedhatch.ClaimantRec" +
+      "ord\022/\n\006answer\030\003 \001(\0132\037.knapweedhatch.Kept" +
+      "AnswerRecord\"R\n\022ClaimReleaseRecord\022\013\n\003ke" +
+      "y\030\001 \001(\t\022/\n\010claimant\030\002 \001(\0132\035.knapweedhatc" +
+      "h.ClaimantRecord\"1\n\022ClaimCopyAskRecord\022\016" +
+      "\n\006roster\030\001 \001(\004\022\013\n\003ask\030\002 \001(\004\"\247\001\n\021CopiedCl" +
+      "aimRecord\022\013\n\003key\030\001 \001(\t\022/\n\010claimant\030\002 \001(\013" +
+      "2\035.knapweedhatch.ClaimantRecord\022\020\n\010answe" +
+      "red\030\003 \001(\010\022/\n\006answer\030\004 \001(\0132\037.knapweedhatc" +
+      "h.KeptAnswerRecord\022\021\n\tage_nanos\030\005 \001(\004\"\216\001" +
+      "\n\017ClaimCopyRecord\022\016\n\006roster\030\001 \001(\004\022\013\n\003ask" +
+      "\030\002 \001(\004\022\014\n\004part\030\003 \001(\r\022\r\n\005parts\030\004 \001(\r\0220\n\006c" +
+      "laims\030\005 \003(\0132 .knapweedhatch.CopiedClaimR" +
+      "ecord\022\017\n\007settled\030\006 \001(\010B \n\034org.knapweedha" +
+      "tch.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -226,7 +226,7 @@
     internal_static_knapweedhatch_LoanGrantRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_LoanGrantRecord_descriptor,
-        new java.lang.String[] { "Id", "Incarnation", "Limit", "Renews", "Share", "Tokens", "LeaseNanos", "Spare", "Borrowers", });
+        new java.lang.String[] { "Id", "Incarnation", "Limit", "Renews", "Share", "Tokens", "LeaseNanos", "Spare", "Loan", });
     internal_static_knapweedhatch_SplitNewsRecord_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_knapweedhatch_SplitNewsRecord_fieldAccessorTable = new
--- a/daemon/src/test/java/org/knapweedhatch/peer/PeerCodecsTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/peer/PeerCodecsTest.java
@@ -79,7 +79,7 @@
         List<PeerMessage> messages = List.of(
                 new Confirm(1, 2, true, 3, 4, 5, 6),
                 new LoanRequest(1, 2, team, 3, 0.25),
-                new LoanGrant(1, 2, LimitId.link("lima", "trujillo"), 3, 0.25, 4.5, 6, 0.125, List.of("lima-b-1")),
+                new LoanGrant(1, 2, LimitId.link("lima", "trujillo"), 9, 3, 0.25, 4.5, 6, 0.125),
                 new SplitNews("split 1\n"),
                 new OfferRequest(),
                 new ReleaseOffer(4, "digest"),
@@ -95,7 +95,12 @@
                 new ClaimMessage.Release("key", claimant),
                 new ClaimMessage.CopyAsk(1, 2),
                 new ClaimMessage.Copy(
-                        1, 2, 0, 1, List.of(new ClaimMessage.Copied("key", claimant, true, Optional.of(kept), 9))));
+                        1,
+                        2,
+                        true,
+                        0,
+                        1,
+                        List.of(new ClaimMessage.Copied("key", claimant, true, Optional.of(kept), 9))));
         for (PeerMessage message : messages) {
             Envelope envelope = codecs.encode(message).build();
             assertEquals(message, codecs.decode("peer", envelope).orThrow());
