--- a/core/src/test/java/org/knapweedhatch/release/BadNoteTest.java
+++ b/core/src/test/java/org/knapweedhatch/release/BadNoteTest.java
@@ -179,7 +179,7 @@
     private static byte[] damage(List<byte[]> edits) {
         byte[] bytes = GOOD;
         for (byte[] edit : edits) {
-            int place = Math.min(bytes.length, (edit[0] & 0xff) << 8 | edit[1] & 0xff);
+            int place = Math.min(bytes.length, ((edit[0] & 0xff) << 8) | (edit[1] & 0xff));
             ByteArrayOutputStream next = new ByteArrayOutputStream();
             next.writeBytes(Arrays.copyOf(bytes, place));
             if (edit[3] != 0) {
--- a/daemon/src/test/java/org/knapweedhatch/daemon/FleetConfigurationTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/daemon/FleetConfigurationTest.java
@@ -74,7 +74,7 @@
 
     @AfterEach
     void stop() {
-        hosts.forEach(EntryHost::stop);
+        hosts.parallelStream().forEach(EntryHost::stop);
         caller.close();
         standIn.close();
     }
