--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/LoanGrantRecord.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/LoanGrantRecord.java
@@ -152,10 +152,10 @@
     return spare_;
   }
 
-  public static final int LOAN_FIELD_NUMBER = 9;
+  public static final int LOAN_FIELD_NUMBER = 10;
   private long loan_ = 0L;
   /**
-   * <code>uint64 loan = 9;</code>
+   * <code>uint64 loan = 10;</code>
    * @return The loan.
    */
   @java.lang.Override
@@ -202,7 +202,7 @@
       output.writeDouble(8, spare_);
     }
     if (loan_ != 0L) {
-      output.writeUInt64(9, loan_);
+      output.writeUInt64(10, loan_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -242,7 +242,7 @@
     }
     if (loan_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(9, loan_);
+        .computeUInt64Size(10, loan_);
     }
     return size;
   }
@@ -653,11 +653,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 65
-            case 72: {
+            case 80: {
               loan_ = input.readUInt64();
               bitField0_ |= 0x00000100;
               break;
-            } // case 72
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1020,7 +1020,7 @@
 
     private long loan_ ;
     /**
-     * <code>uint64 loan = 9;</code>
+     * <code>uint64 loan = 10;</code>
      * @return The loan.
      */
     @java.lang.Override
@@ -1028,7 +1028,7 @@
       return loan_;
     }
     /**
-     * <code>uint64 loan = 9;</code>
+     * <code>uint64 loan = 10;</code>
      * @param value The loan to set.
      * @return This builder for chaining.
      */
@@ -1040,7 +1040,7 @@
       return this;
     }
     /**
-     * <code>uint64 loan = 9;</code>
+     * <code>uint64 loan = 10;</code>
      * @return This builder for chaining.
      */
     public Builder clearLoan() {
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/LoanGrantRecordOrBuilder.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/LoanGrantRecordOrBuilder.java
@@ -68,7 +68,7 @@
   double getSpare();
 
   /**
-   * <code>uint64 loan = 9;</code>
+   * <code>uint64 loan = 10;</code>
    * @return The loan.
    */
   long getLoan();
