--- a/core/src/test/java/org/knapweedhatch/steer/SlotWorld.java
+++ b/core/src/test/java/org/knapweedhatch/steer/SlotWorld.java
@@ -28,7 +28,7 @@
     private final Random random;
     private final Configuration configuration;
     private final Map<String, Process> processes = new TreeMap<>();
-    private final PriorityQueue<Letter> letters = new PriorityQueue<>(Comparator.comparingLong(Letter::at));
+    private final PriorityQueue<Delivery> deliveries = new PriorityQueue<>(Comparator.comparingLong(Delivery::at));
     private final List<Run> runs = new ArrayList<>();
     private final Map<String, Integer> side = new HashMap<>();
     private final Map<String, Integer> incarnations = new HashMap<>();
@@ -37,7 +37,7 @@
     private int worst;
     private boolean calm;
 
-    private record Letter(long at, String from, String to, PeerMessage message) {}
+    private record Delivery(long at, String from, String to, PeerMessage message) {}
 
     private record Run(String target, long end) {}
 
@@ -185,23 +185,23 @@
     }
 
     private void deliver() {
-        while (!letters.isEmpty() && letters.peek().at() <= now) {
-            Letter letter = letters.poll();
-            Process to = processes.get(letter.to());
+        while (!deliveries.isEmpty() && deliveries.peek().at() <= now) {
+            Delivery delivery = deliveries.poll();
+            Process to = processes.get(delivery.to());
             if (to == null) {
                 continue;
             }
             if (to.paused) {
-                letters.add(new Letter(now + 100 * MILLI, letter.from(), letter.to(), letter.message()));
+                deliveries.add(new Delivery(now + 100 * MILLI, delivery.from(), delivery.to(), delivery.message()));
                 return;
             }
-            if (to.dead || apart(letter.from(), letter.to())) {
+            if (to.dead || apart(delivery.from(), delivery.to())) {
                 continue;
             }
-            if (letter.message() instanceof RosterAsk ask) {
-                to.slots.on(letter.from(), ask).ifPresent(reply -> send(letter.to(), letter.from(), reply));
-            } else if (letter.message() instanceof RosterReply reply) {
-                to.slots.on(letter.from(), reply);
+            if (delivery.message() instanceof RosterAsk ask) {
+                to.slots.on(delivery.from(), ask).ifPresent(reply -> send(delivery.to(), delivery.from(), reply));
+            } else if (delivery.message() instanceof RosterReply reply) {
+                to.slots.on(delivery.from(), reply);
             }
         }
     }
@@ -212,7 +212,7 @@
 
     private void send(String from, String to, PeerMessage message) {
         if (calm || random.nextInt(20) > 0) {
-            letters.add(new Letter(now + random.nextInt(calm ? 40 : 400) * MILLI, from, to, message));
+            deliveries.add(new Delivery(now + random.nextInt(calm ? 40 : 400) * MILLI, from, to, message));
         }
     }
 
