--- a/daemon/src/main/java/org/knapweedhatch/daemon/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/ConfigurationFeed.java
@@ -46,7 +46,6 @@
     private final TimeSource time;
     private final AtomicBoolean confirming = new AtomicBoolean();
     private volatile boolean stopped;
-    private volatile boolean platformReachable;
 
     private ConfigurationFeed(
             ObjectApi platform,
@@ -86,11 +85,6 @@
         return follower.inForce().number();
     }
 
-    /** Returns whether the last call of the platform was answered. */
-    boolean platformReachable() {
-        return platformReachable;
-    }
-
     /** Asks again for what did not come; to be called about every 200 ms. */
     void tick() {
         perform(follower.tick());
@@ -148,7 +142,6 @@
                 () -> ThreadLocalRandom.current().nextDouble());
         while (!stopped) {
             Result<List<StoredObject>> changed = watch.next();
-            platformReachable = changed.isOk();
             if (changed.isOk()) {
                 changed.orThrow().forEach(head -> perform(follower.headRead(head)));
             } else if (!stopped) {
