--- a/cli/src/main/java/org/knapweedhatch/cli/Session.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/Session.java
@@ -12,13 +12,13 @@
 import org.knapweedhatch.fault.Fault;
 import org.knapweedhatch.fault.Result;
 import org.knapweedhatch.fault.Step;
+import org.knapweedhatch.http.HttpAnswer;
+import org.knapweedhatch.http.HttpCall;
+import org.knapweedhatch.http.HttpCaller;
 import org.knapweedhatch.ini.FileFault;
 import org.knapweedhatch.platform.ListedHost;
 import org.knapweedhatch.platform.ObjectApi;
-import org.knapweedhatch.platform.http.HttpAnswer;
-import org.knapweedhatch.platform.http.HttpCall;
-import org.knapweedhatch.platform.http.HttpCaller;
-import org.knapweedhatch.platform.http.HttpPlatform;
+import org.knapweedhatch.platform.store.HttpPlatform;
 import org.knapweedhatch.release.ReleaseStore;
 import org.knapweedhatch.world.Address;
 
--- a/cli/src/main/java/org/knapweedhatch/cli/bench/LiveLoad.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/bench/LiveLoad.java
@@ -14,10 +14,10 @@
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.fault.Result;
 import org.knapweedhatch.fault.Step;
+import org.knapweedhatch.http.HttpAnswer;
+import org.knapweedhatch.http.HttpCall;
+import org.knapweedhatch.http.HttpCaller;
 import org.knapweedhatch.message.HeaderNames;
-import org.knapweedhatch.platform.http.HttpAnswer;
-import org.knapweedhatch.platform.http.HttpCall;
-import org.knapweedhatch.platform.http.HttpCaller;
 import org.knapweedhatch.world.Address;
 
 /**
--- a/core/src/main/java/org/knapweedhatch/answer/Reason.java
+++ b/core/src/main/java/org/knapweedhatch/answer/Reason.java
@@ -16,6 +16,14 @@
     NO_ROUTE(404, Outcome.NOT_RUN, "No route has this path."),
     /** The request is not well formed or too large. */
     MALFORMED(400, Outcome.NOT_RUN, "The request is malformed."),
+    /** The head is larger than callers may send. */
+    HEAD_TOO_LARGE(431, Outcome.NOT_RUN, "The head of the request is too large."),
+    /** The body is larger than callers may send. */
+    BODY_TOO_LARGE(413, Outcome.NOT_RUN, "The body of the request is too large."),
+    /** The head did not arrive in time. */
+    HEAD_TOO_SLOW(408, Outcome.NOT_RUN, "The head of the request came too slowly."),
+    /** No configuration is in force on this host yet. */
+    NO_CONFIGURATION(503, Outcome.NOT_RUN, "The host has no configuration yet."),
     /** The team has spent its rate and burst over all hosts. */
     LIMITED(429, Outcome.NOT_RUN, "The team's rate and burst are spent."),
     /** The host cannot tell whether the team's rate is spent, or has no budget at hand. */
--- a/core/src/main/java/org/knapweedhatch/ini/Fields.java
+++ b/core/src/main/java/org/knapweedhatch/ini/Fields.java
@@ -32,7 +32,7 @@
  */
 public final class Fields {
 
-    private static final Pattern DURATION = Pattern.compile("(\\d{1,12})\\s*(ms|s|m|h)");
+    private static final Pattern DURATION = Pattern.compile("(\\d{1,12})(\\.\\d{1,6})?\\s*(ms|s|m|h)");
     private static final Pattern WHOLE = Pattern.compile("[+-]?\\d{1,18}");
     private static final Pattern NUMBER = Pattern.compile("[+-]?\\d{1,15}(\\.\\d{1,15})?([eE][+-]?\\d{1,3})?");
     private static final Address NO_ADDRESS = new Address("0.0.0.0", 1);
@@ -218,7 +218,11 @@
             fault(name, "not a duration such as 250ms, 3s, 5m or 1h: " + text);
             return Optional.empty();
         }
-        Duration value = Durations.of(Long.parseLong(matcher.group(1)), matcher.group(2));
+        Duration value = Durations.of(Long.parseLong(matcher.group(1)), matcher.group(3));
+        if (matcher.group(2) != null) {
+            long unitNanos = Durations.of(1, matcher.group(3)).toNanos();
+            value = value.plusNanos(Math.round(Double.parseDouble("0" + matcher.group(2)) * unitNanos));
+        }
         boolean inside = value.compareTo(min) >= 0 && value.compareTo(max) <= 0;
         return inRange(name, text, inside, value, Durations.format(min) + " to " + Durations.format(max));
     }
--- a/core/src/main/java/org/knapweedhatch/platform/MemoryPlatform.java
+++ b/core/src/main/java/org/knapweedhatch/platform/MemoryPlatform.java
@@ -30,13 +30,16 @@
     private final Waiter waiter;
 
     private final NavigableMap<String, StoredObject> objects = new TreeMap<>();
+    private final NavigableMap<String, Long> deletions = new TreeMap<>();
     private final Map<String, ListedHost> hosts = new TreeMap<>();
     private NavigableMap<String, StoredObject> staleObjects;
+    private long staleVersion;
     private long version;
     private boolean down;
     private Duration delay = Duration.ZERO;
     private int answersToLose;
     private int writesToDrop;
+    private long firstKept;
 
     private MemoryPlatform(Waiter waiter) {
         this.waiter = Validate.notNull(waiter, "waiter");
@@ -67,7 +70,10 @@
 
     /** Makes reads and lists answer from the present state whatever is written later, or ends that. */
     public void staleReads(boolean stale) {
-        locked(() -> staleObjects = stale ? new TreeMap<>(objects) : null);
+        locked(() -> {
+            staleObjects = stale ? new TreeMap<>(objects) : null;
+            staleVersion = version;
+        });
     }
 
     /** Makes the next {@code count} writes take effect and then fail with {@link Problem#UNKNOWN}. */
@@ -80,6 +86,14 @@
         locked(() -> writesToDrop = count);
     }
 
+    /** Forgets the changes made so far, so that a watch from before fails with {@link Problem#EXPIRED}. */
+    public void dropHistory() {
+        locked(() -> {
+            firstKept = version;
+            changed.signalAll();
+        });
+    }
+
     /** Adds or replaces a host of the host list. */
     public void listHost(ListedHost host) {
         locked(() -> hosts.put(host.host().name(), host));
@@ -137,6 +151,7 @@
                 return Result.failed(taken.fault());
             }
             StoredObject object = new StoredObject(name, ++version, body.clone());
+            deletions.remove(name);
             objects.put(name, object);
             changed.signalAll();
             return loses() ? lost(name) : Result.ok(object);
@@ -160,6 +175,8 @@
             }
             objects.remove(name);
             version++;
+            deletions.put(name, version);
+            changed.signalAll();
             return loses() ? lost(name) : Result.ok(version);
         } finally {
             lock.unlock();
@@ -223,6 +240,55 @@
         }
     }
 
+    @Override
+    public Result<Listing> listing(String prefix) {
+        counter.list();
+        pause();
+        lock.lock();
+        try {
+            long asOf = staleObjects == null ? version : staleVersion;
+            return down ? unavailable(prefix) : Result.ok(new Listing(under(readable(), prefix, 0), asOf));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    @Override
+    public Result<Changes> changes(String prefix, long afterVersion, Duration wait) {
+        counter.watch();
+        pause();
+        long nanos = wait.toNanos();
+        lock.lock();
+        try {
+            while (true) {
+                if (down) {
+                    return unavailable(prefix);
+                }
+                if (afterVersion < firstKept) {
+                    return failed(Problem.EXPIRED, prefix, "changes after " + afterVersion + " are gone");
+                }
+                Changes found =
+                        new Changes(under(objects, prefix, afterVersion), deletedUnder(prefix, afterVersion), version);
+                if (!found.isEmpty() || nanos <= 0) {
+                    return Result.ok(found);
+                }
+                nanos = changed.awaitNanos(nanos);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return failed(Problem.UNAVAILABLE, prefix, "interrupted");
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private List<String> deletedUnder(String prefix, long after) {
+        return deletions.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(prefix) && entry.getValue() > after)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     @Override
     public Result<List<ListedHost>> hosts() {
         counter.list();
--- a/core/src/main/java/org/knapweedhatch/platform/ObjectApi.java
+++ b/core/src/main/java/org/knapweedhatch/platform/ObjectApi.java
@@ -36,6 +36,15 @@
     /** Returns the objects whose names begin with a prefix, by name. */
     Result<List<StoredObject>> list(String prefix);
 
+    /** Returns the objects whose names begin with a prefix, and the version as of which that is so. */
+    Result<Listing> listing(String prefix);
+
+    /**
+     * Waits until something under a prefix is written or deleted after a version, or until the wait is over; fails with
+     * {@link Problem#EXPIRED} where the changes since then are no longer held.
+     */
+    Result<Changes> changes(String prefix, long afterVersion, Duration wait);
+
     /**
      * Waits until an object under a prefix has a version above {@code afterVersion}, or until the wait is over, and
      * returns the changed objects; an empty list means that nothing changed. Versions count over the whole store.
--- a/core/src/main/java/org/knapweedhatch/platform/Problem.java
+++ b/core/src/main/java/org/knapweedhatch/platform/Problem.java
@@ -11,6 +11,8 @@
     CONFLICT,
     /** The platform refused the call as malformed, such as a body that is too large. */
     REJECTED,
+    /** A watch asked for changes that the platform no longer holds; list anew. */
+    EXPIRED,
     /** The platform could not be reached or did not take the call; nothing was written. */
     UNAVAILABLE,
     /** No answer came; a write may have taken effect. */
--- a/core/src/main/java/org/knapweedhatch/world/Configuration.java
+++ b/core/src/main/java/org/knapweedhatch/world/Configuration.java
@@ -2,8 +2,10 @@
 
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -20,6 +22,11 @@
  */
 public final class Configuration {
 
+    private static final Comparator<Route> LONGEST_PATH_FIRST = Comparator.comparingInt(
+                    (Route route) -> route.path().length())
+            .reversed()
+            .thenComparing(Route::name);
+
     private static final Configuration EMPTY = new Builder().build(0);
 
     private final long number;
@@ -34,7 +41,9 @@
     private final Map<String, Shift> shifts;
     private final Map<String, ClientBlock> blocks;
     private final Set<Drain> drains;
+    private final CallerLimits callerLimits;
     private final Map<String, Key> keysByDigest;
+    private final Map<String, List<Route>> routesByHost;
 
     private Configuration(Builder b, long number) {
         this.number = number;
@@ -49,6 +58,10 @@
         shifts = Map.copyOf(b.shifts);
         blocks = Map.copyOf(b.blocks);
         drains = Set.copyOf(b.drains);
+        callerLimits = b.callerLimits;
+        routesByHost = routes.values().stream()
+                .sorted(LONGEST_PATH_FIRST)
+                .collect(Collectors.groupingBy(Route::host, Collectors.toUnmodifiableList()));
         keysByDigest = keys.values().stream().collect(Collectors.toUnmodifiableMap(Key::digest, Function.identity()));
     }
 
@@ -76,6 +89,7 @@
         b.shifts.putAll(shifts);
         b.blocks.putAll(blocks);
         b.drains.addAll(drains);
+        b.callerLimits = callerLimits;
         return b;
     }
 
@@ -139,21 +153,31 @@
         return drains;
     }
 
+    /** Returns what callers may send. */
+    public CallerLimits callerLimits() {
+        return callerLimits;
+    }
+
     /** Returns the key with a digest, where it is in force. */
     public Optional<Key> keyByDigest(String digest) {
         return Optional.ofNullable(keysByDigest.get(digest));
     }
 
-    /** Returns the route with the longest prefix of a path. */
+    /** Returns the route of any host name with the longest prefix of a path. */
     public Optional<Route> route(String path) {
-        Route best = null;
-        for (Route route : routes.values()) {
-            boolean longer = best == null || route.path().length() > best.path().length();
-            if (longer && covers(route.path(), path)) {
-                best = route;
-            }
-        }
-        return Optional.ofNullable(best);
+        return route("", path);
+    }
+
+    /** Returns the route of a host name, or of any, with the longest prefix of a path. */
+    public Optional<Route> route(String host, String path) {
+        Optional<Route> named = longest(host, path);
+        return named.isPresent() || host.isEmpty() ? named : longest("", path);
+    }
+
+    private Optional<Route> longest(String host, String path) {
+        return routesByHost.getOrDefault(host, List.of()).stream()
+                .filter(route -> covers(route.path(), path))
+                .findFirst();
     }
 
     private static boolean covers(String prefix, String path) {
@@ -223,7 +247,8 @@
                 && links.equals(that.links)
                 && shifts.equals(that.shifts)
                 && blocks.equals(that.blocks)
-                && drains.equals(that.drains);
+                && drains.equals(that.drains)
+                && callerLimits.equals(that.callerLimits);
     }
 
     @Override
@@ -244,6 +269,7 @@
         private final Map<String, Shift> shifts = new TreeMap<>();
         private final Map<String, ClientBlock> blocks = new HashMap<>();
         private final Set<Drain> drains = new HashSet<>();
+        private CallerLimits callerLimits = CallerLimits.standard();
 
         private Builder() {}
 
@@ -313,6 +339,12 @@
             return this;
         }
 
+        /** Sets what callers may send. */
+        public Builder callerLimits(CallerLimits limits) {
+            callerLimits = limits;
+            return this;
+        }
+
         /** Ends a planned drain. */
         public Builder endDrain(Drain drain) {
             drains.remove(drain);
--- a/core/src/main/java/org/knapweedhatch/world/Contract.java
+++ b/core/src/main/java/org/knapweedhatch/world/Contract.java
@@ -9,8 +9,22 @@
  * @param burst requests at once
  */
 public record Contract(double rate, long burst) {
+
+    private static final double UNLIMITED_RATE = 1e9;
+    private static final Contract UNLIMITED = new Contract(UNLIMITED_RATE, (long) UNLIMITED_RATE);
+
     public Contract {
         Validate.isTrue(Double.isFinite(rate) && rate > 0, "rate must be above zero: %s", rate);
         Validate.positive(burst, "burst");
     }
+
+    /** Returns the contract of a team that is not limited. */
+    public static Contract unlimited() {
+        return UNLIMITED;
+    }
+
+    /** Returns whether the team is not limited. */
+    public boolean isUnlimited() {
+        return rate >= UNLIMITED_RATE;
+    }
 }
--- a/core/src/test/java/org/knapweedhatch/platform/SwitchedApi.java
+++ b/core/src/test/java/org/knapweedhatch/platform/SwitchedApi.java
@@ -52,6 +52,16 @@
         return now().watch(prefix, afterVersion, Duration.ZERO);
     }
 
+    @Override
+    public Result<Listing> listing(String prefix) {
+        return now().listing(prefix);
+    }
+
+    @Override
+    public Result<Changes> changes(String prefix, long afterVersion, Duration wait) {
+        return now().changes(prefix, afterVersion, Duration.ZERO);
+    }
+
     @Override
     public Result<List<ListedHost>> hosts() {
         return now().hosts();
--- a/core/src/test/java/org/knapweedhatch/release/DelegatingApi.java
+++ b/core/src/test/java/org/knapweedhatch/release/DelegatingApi.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.List;
 import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.platform.Changes;
 import org.knapweedhatch.platform.ListedHost;
+import org.knapweedhatch.platform.Listing;
 import org.knapweedhatch.platform.ObjectApi;
 import org.knapweedhatch.platform.StoredObject;
 
@@ -46,6 +48,16 @@
         return api.watch(prefix, afterVersion, wait);
     }
 
+    @Override
+    public Result<Listing> listing(String prefix) {
+        return api.listing(prefix);
+    }
+
+    @Override
+    public Result<Changes> changes(String prefix, long afterVersion, Duration wait) {
+        return api.changes(prefix, afterVersion, wait);
+    }
+
     @Override
     public Result<List<ListedHost>> hosts() {
         return api.hosts();
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
@@ -0,0 +1,202 @@
+package org.knapweedhatch.fleet;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.helper.Validate;
+import org.knapweedhatch.member.MemberMessage;
+import org.knapweedhatch.member.Membership;
+import org.knapweedhatch.member.View;
+import org.knapweedhatch.message.Outgoing;
+import org.knapweedhatch.message.PeerMessage;
+import org.knapweedhatch.peer.PeerCodecs;
+import org.knapweedhatch.peer.PeerReceiver;
+import org.knapweedhatch.peer.PeerTransport;
+import org.knapweedhatch.platform.ListedHost;
+import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.Host;
+
+/**
+ * The other hosts: who there is, and messages to and from them.
+ *
+ * <pre>{@code
+ * Peers peers = Peers.builder(host, secret, time).seeds(seeds).receiver(this::receive).start();
+ * peers.send(new Outgoing("lima-b-1", message));
+ * peers.stop();
+ * }</pre>
+ */
+public final class Peers {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final long TICK_MS = Membership.TICK.toMillis();
+
+    /** Ticks between two tries of the seeds while no other host is known. */
+    private static final int SEED_TICKS = 5;
+
+    private final Host self;
+    private final List<Address> seeds;
+    private final PeerReceiver receiver;
+    private final Consumer<View> viewed;
+    private final Runnable eachTick;
+    private final Membership membership;
+    private final PeerTransport transport;
+    private final ScheduledExecutorService ticker;
+    private View lastView;
+    private long ticks;
+
+    private Peers(Builder b) {
+        self = b.self;
+        seeds = b.seeds;
+        receiver = b.receiver;
+        viewed = b.viewed;
+        eachTick = b.eachTick;
+        membership =
+                Membership.builder(self, b.time).configuration(b.configuration).build();
+        transport = PeerTransport.builder(self, b.secret)
+                .codecs(PeerCodecs.all())
+                .addresses(name -> membership.host(name).map(Host::peer))
+                .incarnation(membership::incarnation)
+                .receiver(this::receive)
+                .outdated(membership::outbid)
+                .start();
+        ticker = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "peers");
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    /** Returns a builder for the peers of a host that shares a secret with them. */
+    public static Builder builder(Host self, String secret, TimeSource time) {
+        return new Builder(self, secret, time);
+    }
+
+    private void tickSafely() {
+        try {
+            tick();
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("peers: a tick failed");
+        }
+    }
+
+    private void tick() {
+        membership.tick().forEach(transport::send);
+        View view = membership.view();
+        if (view != lastView) {
+            lastView = view;
+            viewed.accept(view);
+        }
+        if (ticks++ % SEED_TICKS == 0 && view.members().size() < 2) {
+            exploreSeeds();
+        }
+        eachTick.run();
+    }
+
+    private void exploreSeeds() {
+        for (Address seed : seeds) {
+            if (!seed.equals(self.peer())) {
+                transport.explore(seed, name -> transport.send(membership.introduce(name)));
+            }
+        }
+    }
+
+    private void receive(String from, long incarnation, PeerMessage message) {
+        if (message instanceof MemberMessage) {
+            membership.receive(from, message).forEach(transport::send);
+        } else if (membership.accepts(from, incarnation)) {
+            receiver.receive(from, incarnation, message);
+        }
+    }
+
+    /** Sends a message; it is dropped where the host cannot be reached soon. */
+    public void send(Outgoing message) {
+        transport.send(message);
+    }
+
+    /** Takes in the hosts that the platform lists, as a hint where to find others. */
+    public void listed(List<ListedHost> hosts) {
+        membership.hints(hosts);
+    }
+
+    /** Returns the hosts as this one sees them. */
+    public View view() {
+        return membership.view();
+    }
+
+    /** Returns the number of this process. */
+    public long incarnation() {
+        return membership.incarnation();
+    }
+
+    /** Tells the others that this host is about to stop. */
+    public void leave() {
+        membership.leave();
+    }
+
+    /** Says goodbye and closes all connections. */
+    public void stop() {
+        ticker.shutdownNow();
+        membership.goodbye().forEach(transport::send);
+        transport.stop();
+    }
+
+    /** Gathers what the peers need. */
+    public static final class Builder {
+        private final Host self;
+        private final String secret;
+        private final TimeSource time;
+        private List<Address> seeds = List.of();
+        private PeerReceiver receiver = (from, incarnation, message) -> {};
+        private Consumer<View> viewed = view -> {};
+        private Runnable eachTick = () -> {};
+        private LongSupplier configuration = () -> 0;
+
+        private Builder(Host self, String secret, TimeSource time) {
+            this.self = Validate.notNull(self, "self");
+            this.secret = Validate.notEmpty(secret, "secret");
+            this.time = Validate.notNull(time, "time");
+        }
+
+        /** Sets peer addresses that are tried while no other host is known. */
+        public Builder seeds(List<Address> addresses) {
+            seeds = List.copyOf(addresses);
+            return this;
+        }
+
+        /** Sets who takes in the messages of other parts; it must not block. */
+        public Builder receiver(PeerReceiver sink) {
+            receiver = Validate.notNull(sink, "receiver");
+            return this;
+        }
+
+        /** Sets who learns of each new view. */
+        public Builder viewed(Consumer<View> sink) {
+            viewed = Validate.notNull(sink, "viewed");
+            return this;
+        }
+
+        /** Sets what is done at every tick, ten times a second; it must not block. */
+        public Builder eachTick(Runnable task) {
+            eachTick = Validate.notNull(task, "task");
+            return this;
+        }
+
+        /** Sets where the number of the configuration in force comes from; 0 while the host is not ready. */
+        public Builder configuration(LongSupplier number) {
+            configuration = Validate.notNull(number, "number");
+            return this;
+        }
+
+        /** Starts; throws where the host's peer address cannot be bound. */
+        public Peers start() {
+            Peers peers = new Peers(this);
+            peers.ticker.scheduleWithFixedDelay(peers::tickSafely, 0, TICK_MS, TimeUnit.MILLISECONDS);
+            return peers;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/front/Admission.java
@@ -0,0 +1,121 @@
+package org.knapweedhatch.front;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.knapweedhatch.answer.Reason;
+import org.knapweedhatch.answer.Refusal;
+import org.knapweedhatch.key.KeyCheck;
+import org.knapweedhatch.world.Access;
+import org.knapweedhatch.world.Configuration;
+import org.knapweedhatch.world.Destination;
+import org.knapweedhatch.world.Route;
+import org.knapweedhatch.world.Team;
+
+/** Decides which route, team and service a request belongs to, or why it is refused. */
+final class Admission {
+
+    private final FrontContext context;
+    private final Splits splits = new Splits();
+
+    Admission(FrontContext context) {
+        this.context = context;
+    }
+
+    /** The outcome for one request. */
+    sealed interface Outcome {}
+
+    /**
+     * The request may run.
+     *
+     * @param route its route
+     * @param team name of its team; empty on routes that are open to all
+     * @param priority rank of the request; 0 is the highest
+     * @param service service that is to run it
+     * @param regions regions that may run it; empty for all
+     */
+    record Admitted(Route route, String team, int priority, String service, Set<String> regions) implements Outcome {}
+
+    /** The request is refused; the team is empty where it is not known. */
+    record Refused(Refusal refusal, String team) implements Outcome {}
+
+    Outcome decide(HttpRequest request) {
+        Configuration configuration = context.configuration();
+        if (configuration.number() == 0) {
+            return refused(Reason.NO_CONFIGURATION, "");
+        }
+        Optional<Route> route = configuration.route(hostOf(request), pathOf(request.uri()));
+        if (route.isEmpty()) {
+            return refused(Reason.NO_ROUTE, "");
+        }
+        if (route.get().access() == Access.OPEN) {
+            return admitted(
+                    route.get(),
+                    "",
+                    route.get().handling().priority(),
+                    route.get().regions());
+        }
+        KeyCheck check =
+                context.keys().check(request.headers().get(context.headers().key()));
+        if (check instanceof KeyCheck.Rejected rejected) {
+            return refused(reason(rejected.reason()), "");
+        }
+        Team team = configuration.teams().get(((KeyCheck.Accepted) check).key().team());
+        Optional<Duration> wait = context.spend(team.name());
+        if (wait.isPresent()) {
+            return new Refused(Refusal.of(Reason.LIMITED).retryAfter(wait.get()), team.name());
+        }
+        return admitted(
+                route.get(),
+                team.name(),
+                team.priorityOn(route.get()),
+                common(route.get().regions(), team.regions()));
+    }
+
+    private Outcome admitted(Route route, String team, int priority, Set<String> regions) {
+        Destination destination = splits.next(route);
+        return new Admitted(route, team, priority, destination.service(), regions);
+    }
+
+    private static Refused refused(Reason reason, String team) {
+        return new Refused(Refusal.of(reason), team);
+    }
+
+    /** Returns the regions that both sets allow; an empty set allows all. */
+    private static Set<String> common(Set<String> one, Set<String> other) {
+        if (one.isEmpty() || other.isEmpty()) {
+            return one.isEmpty() ? other : one;
+        }
+        Set<String> both = new HashSet<>(one);
+        both.retainAll(other);
+        return both.isEmpty() ? Set.of("") : both;
+    }
+
+    private static Reason reason(KeyCheck.Reason reason) {
+        return switch (reason) {
+            case MISSING -> Reason.KEY_MISSING;
+            case MALFORMED -> Reason.KEY_MALFORMED;
+            case UNKNOWN -> Reason.KEY_UNKNOWN;
+            case WITHDRAWN -> Reason.KEY_WITHDRAWN;
+        };
+    }
+
+    /** Returns the host name of a request in lower case, without its port. */
+    private static String hostOf(HttpRequest request) {
+        HttpHeaders headers = request.headers();
+        String host = Optional.ofNullable(headers.get(HttpHeaderNames.HOST)).orElse("");
+        int port = host.lastIndexOf(':');
+        boolean hasPort = port > host.lastIndexOf(']');
+        return (hasPort ? host.substring(0, port) : host).toLowerCase(Locale.ROOT);
+    }
+
+    private static String pathOf(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -0,0 +1,228 @@
+package org.knapweedhatch.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import org.knapweedhatch.answer.Reason;
+import org.knapweedhatch.answer.Refusal;
+import org.knapweedhatch.world.CallerLimits;
+
+/**
+ * One connection of a caller: reads requests ahead, runs them side by side, and answers in the order in which they
+ * came.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+    /** Requests that may be in progress on one connection; reading pauses beyond them. */
+    private static final int MAX_PIPELINED = 32;
+
+    private final FrontServer server;
+    private final CallerLimits limits;
+    private final Deque<CallerRequest> pending = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private CallerRequest receiving;
+    private boolean readsNoMore;
+    private long activeNanos;
+    private long headBegunNanos;
+    private boolean headBegun;
+
+    CallerConnection(FrontServer server) {
+        this.server = server;
+        limits = server.context().configuration().callerLimits();
+        activeNanos = server.context().time().nanos();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    /** Notes that bytes came; the first ones between two requests begin a head. */
+    void bytesCame() {
+        if (!headBegun && receiving == null) {
+            headBegun = true;
+            headBegunNanos = server.context().time().nanos();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (readsNoMore) {
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                begin(request);
+            }
+            if (message instanceof HttpContent content && receiving != null) {
+                take(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void begin(HttpRequest head) {
+        headBegun = false;
+        activeNanos = server.context().time().nanos();
+        CallerRequest request = new CallerRequest(server, this, head);
+        pending.addLast(request);
+        if (head.decoderResult().isFailure()) {
+            reject(request, head.decoderResult().cause());
+            return;
+        }
+        long length = HttpUtil.getContentLength(head, 0L);
+        if (length > limits.bodyBytes()) {
+            readsNoMore = true;
+            request.refuse(Refusal.of(Reason.BODY_TOO_LARGE), "");
+            return;
+        }
+        receiving = request;
+        if (HttpUtil.is100ContinueExpected(head) && pending.size() == 1) {
+            context.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+        if (!HttpUtil.isKeepAlive(head)) {
+            closesAfter = true;
+        }
+        if (pending.size() >= MAX_PIPELINED) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    private boolean closesAfter;
+
+    private void reject(CallerRequest request, Throwable cause) {
+        readsNoMore = true;
+        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        request.refuse(Refusal.of(tooLong ? Reason.HEAD_TOO_LARGE : Reason.MALFORMED), "");
+    }
+
+    private void take(HttpContent content) {
+        CallerRequest request = receiving;
+        if (content.decoderResult().isFailure()) {
+            receiving = null;
+            reject(request, content.decoderResult().cause());
+            return;
+        }
+        if (content.content().isReadable()) {
+            request.receive(content.content());
+            if (request.received() > limits.bodyBytes()) {
+                receiving = null;
+                readsNoMore = true;
+                request.refuse(Refusal.of(Reason.BODY_TOO_LARGE), "");
+                return;
+            }
+        }
+        if (content instanceof LastHttpContent) {
+            receiving = null;
+            readsNoMore = closesAfter;
+            request.received(context.channel().eventLoop());
+        }
+    }
+
+    /** Writes the answers that are ready and whose turn it is. */
+    void flushAnswers() {
+        boolean wrote = false;
+        while (!pending.isEmpty() && pending.peekFirst().answer().isPresent()) {
+            CallerRequest request = pending.pollFirst();
+            write(request, request.answer().orElseThrow());
+            wrote = true;
+        }
+        if (wrote) {
+            activeNanos = server.context().time().nanos();
+            context.flush();
+            if (pending.size() < MAX_PIPELINED) {
+                context.channel().config().setAutoRead(true);
+            }
+        }
+    }
+
+    private void write(CallerRequest request, CallerRequest.Answer answer) {
+        boolean isHead = HttpMethod.HEAD.equals(request.head().method());
+        ByteBuf body = answer.body();
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(answer.status()),
+                body,
+                answer.headers(),
+                DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
+        if (!isHead) {
+            HttpUtil.setContentLength(response, body.readableBytes());
+        }
+        boolean last = pending.isEmpty() && receiving == null;
+        boolean close = last && (readsNoMore || server.context().leaving() && !headBegun);
+        if (close) {
+            readsNoMore = true;
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            context.write(response).addListener(ChannelFutureListener.CLOSE);
+        } else {
+            context.write(response);
+        }
+    }
+
+    /** Closes the connection where it has been idle for longer than callers may be, or a head takes too long. */
+    void sweep(long nowNanos, long idleNanos) {
+        if (headBegun
+                && receiving == null
+                && nowNanos - headBegunNanos > limits.headerTimeout().toNanos()) {
+            headBegun = false;
+            readsNoMore = true;
+            CallerRequest.Answer answer = OwnAnswers.of(
+                    Reason.HEAD_TOO_SLOW, Optional.empty(), "", server.context().headers());
+            if (pending.isEmpty()) {
+                DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), answer.body());
+                response.headers().set(answer.headers()).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                HttpUtil.setContentLength(response, answer.body().readableBytes());
+                context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            }
+            return;
+        }
+        boolean idle = pending.isEmpty() && !headBegun;
+        if (idle && nowNanos - activeNanos > idleNanos) {
+            context.close();
+        }
+    }
+
+    boolean isIdle() {
+        return pending.isEmpty() && !headBegun;
+    }
+
+    void close() {
+        context.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        readsNoMore = true;
+        server.closed(this);
+        while (!pending.isEmpty()) {
+            pending.pollFirst().callerGone();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -0,0 +1,369 @@
+package org.knapweedhatch.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.knapweedhatch.answer.Reason;
+import org.knapweedhatch.answer.Refusal;
+import org.knapweedhatch.log.EventLog;
+import org.knapweedhatch.log.LineKind;
+import org.knapweedhatch.place.Ask;
+import org.knapweedhatch.place.Ending;
+import org.knapweedhatch.place.Placement;
+import org.knapweedhatch.target.KnownTarget;
+import org.knapweedhatch.world.RequestKind;
+
+/** One request of a caller, from its head to its answer. */
+final class CallerRequest {
+
+    /** The least time that is left to a target; less is not worth a try. */
+    private static final Duration LEAST_LEFT = Duration.ofMillis(10);
+
+    /** An idle connection that was used within this time carries requests that must not run twice. */
+    private static final Duration FRESH = Duration.ofSeconds(2);
+
+    private static final Duration ANY_AGE = Duration.ofDays(1);
+    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
+
+    private final FrontServer server;
+    private final FrontContext context;
+    private final CallerConnection connection;
+    private final HttpRequest head;
+    private final String id;
+    private final long arrivedNanos;
+    private final CompositeByteBuf body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+    private final Set<String> tried = new HashSet<>();
+    private Admission.Admitted admitted;
+    private long giveUpNanos;
+    private ScheduledFuture<?> giveUp;
+    private Attempt attempt;
+    private int sent;
+    private boolean mayHaveRun;
+    private boolean callerGone;
+    private boolean done;
+    private Answer answer;
+
+    /** What goes back to the caller. */
+    record Answer(int status, HttpHeaders headers, ByteBuf body) {}
+
+    CallerRequest(FrontServer server, CallerConnection connection, HttpRequest head) {
+        this.server = server;
+        this.connection = connection;
+        this.head = head;
+        context = server.context();
+        arrivedNanos = context.time().nanos();
+        id = Optional.ofNullable(head.headers().get(context.headers().requestId()))
+                .orElse("");
+    }
+
+    HttpRequest head() {
+        return head;
+    }
+
+    Optional<Answer> answer() {
+        return Optional.ofNullable(answer);
+    }
+
+    /** Takes in a part of the body. */
+    void receive(ByteBuf part) {
+        body.addComponent(true, part.retain());
+    }
+
+    int received() {
+        return body.readableBytes();
+    }
+
+    /** Goes on once the whole request is here. */
+    void received(EventLoop loop) {
+        Admission.Outcome outcome = server.admission().decide(head);
+        if (outcome instanceof Admission.Refused refused) {
+            refuse(refused.refusal(), refused.team());
+            return;
+        }
+        admitted = (Admission.Admitted) outcome;
+        Duration timeout = admitted.route().handling().timeout();
+        Duration patience =
+                callersPatience().filter(p -> p.compareTo(timeout) < 0).orElse(timeout);
+        giveUpNanos = arrivedNanos + patience.toNanos();
+        giveUp = loop.schedule(this::expire, giveUpNanos - context.time().nanos(), TimeUnit.NANOSECONDS);
+        place();
+    }
+
+    private Optional<Duration> callersPatience() {
+        String text = head.headers().get(context.headers().deadlineMs());
+        if (text == null || !text.matches("\\d{1,9}")) {
+            return Optional.empty();
+        }
+        return Optional.of(Duration.ofMillis(Long.parseLong(text)));
+    }
+
+    private void place() {
+        Duration left = Duration.ofNanos(giveUpNanos - context.time().nanos());
+        if (left.compareTo(LEAST_LEFT) < 0) {
+            refuse(Refusal.of(Reason.BUSY).retryAfter(DEFAULT_RETRY_AFTER), admitted.team());
+            return;
+        }
+        String object = admitted.route().handling().sticky()
+                ? Optional.ofNullable(head.headers().get(context.headers().affinity()))
+                        .orElse("")
+                : "";
+        Ask ask = new Ask(admitted.service(), object, admitted.regions(), tried);
+        Placement placement = context.placer().place(ask);
+        if (placement instanceof Placement.Refused refused) {
+            refuse(Refusal.of(Reason.BUSY).retryAfter(refused.retryAfter()), admitted.team());
+            return;
+        }
+        attempt = new Attempt(((Placement.Sent) placement).target());
+        attempt.begin();
+    }
+
+    private RequestKind kind() {
+        return admitted.route().handling().kind();
+    }
+
+    private Forward forward(KnownTarget target) {
+        long leftMs = TimeUnit.NANOSECONDS.toMillis(giveUpNanos - context.time().nanos());
+        HttpHeaders headers =
+                server.forwardHeaders().toTarget(head.headers(), admitted.team(), target.name(), Math.max(1, leftMs));
+        return new Forward(id, head.method(), head.uri(), headers, body);
+    }
+
+    /** One try to have the request run by a target. */
+    private final class Attempt implements TargetConnections.Taker, TargetConnection.Listener {
+        private final KnownTarget target;
+        private final long begunNanos = context.time().nanos();
+        private TargetConnection connection;
+        private boolean over;
+
+        Attempt(KnownTarget target) {
+            this.target = target;
+        }
+
+        void begin() {
+            Duration freshest = kind().mayRepeat() ? ANY_AGE : FRESH;
+            server.connections().take(target, freshest, this);
+        }
+
+        @Override
+        public void connected(TargetConnection opened) {
+            if (over) {
+                opened.close();
+                return;
+            }
+            connection = opened;
+            if (sent++ == 0) {
+                context.sentFirst(admitted.service());
+            }
+            opened.send(forward(target), this);
+        }
+
+        @Override
+        public void unreachable(String why) {
+            if (!over) {
+                end(Ending.UNREACHABLE, Optional.empty());
+                log(why, Ending.UNREACHABLE);
+                again(false);
+            }
+        }
+
+        @Override
+        public void answered(TargetAnswer received) {
+            if (over) {
+                received.body().release();
+                return;
+            }
+            Optional<String> load =
+                    Optional.ofNullable(received.headers().get(context.headers().load()));
+            int status = received.status().code();
+            boolean notRun = received.headers().contains(context.headers().notRun()) || status == 421;
+            Ending ending = ending(status, notRun);
+            end(ending, load);
+            if (notRun) {
+                received.body().release();
+                log("status " + status, ending);
+                again(false);
+            } else if (ending == Ending.FAILED && kind().mayRepeat() && mayTryAgain(true)) {
+                received.body().release();
+                log("status " + status, ending);
+                mayHaveRun = true;
+                place();
+            } else {
+                pass(target, received, context.time().nanos() - begunNanos, load);
+            }
+        }
+
+        private static Ending ending(int status, boolean notRun) {
+            if (notRun) {
+                return status == 421 ? Ending.MISDIRECTED : Ending.SHED;
+            }
+            return status >= 500 ? Ending.FAILED : Ending.ANSWERED;
+        }
+
+        @Override
+        public void broken(String why, boolean written) {
+            if (!over) {
+                end(Ending.BROKEN, Optional.empty());
+                log(why, Ending.BROKEN);
+                again(written);
+            }
+        }
+
+        private void end(Ending ending, Optional<String> load) {
+            over = true;
+            context.placer().ended(target, ending, context.time().nanos() - begunNanos, load);
+        }
+
+        private void log(String why, Ending ending) {
+            line(LineKind.ATTEMPT)
+                    .put("target", target.name())
+                    .put("ending", ending.name())
+                    .put("why", why)
+                    .putNanos("tookMs", context.time().nanos() - begunNanos)
+                    .write();
+        }
+
+        void cancel(Ending ending) {
+            if (!over) {
+                end(ending, Optional.empty());
+                if (connection != null) {
+                    connection.cancel();
+                }
+            }
+        }
+
+        boolean isSent() {
+            return connection != null;
+        }
+    }
+
+    private boolean mayTryAgain(boolean costsBudget) {
+        boolean attemptsLeft = sent < admitted.route().handling().maxAttempts();
+        boolean timeLeft = giveUpNanos - context.time().nanos() > LEAST_LEFT.toNanos();
+        return attemptsLeft && timeLeft && (!costsBudget || context.mayRetry(admitted.service()));
+    }
+
+    /** Tries another target after an attempt that brought no answer, where that is allowed, or gives up. */
+    private void again(boolean written) {
+        KnownTarget failed = attempt.target;
+        boolean wasSent = attempt.isSent();
+        tried.add(failed.name());
+        attempt = null;
+        mayHaveRun |= written;
+        if (callerGone) {
+            finish();
+            return;
+        }
+        boolean allowed = !written || kind().mayRepeat();
+        if (allowed && mayTryAgain(wasSent)) {
+            place();
+        } else if (mayHaveRun) {
+            refuse(Refusal.of(Reason.LOST), admitted.team());
+        } else {
+            refuse(Refusal.of(Reason.SHED).retryAfter(DEFAULT_RETRY_AFTER), admitted.team());
+        }
+    }
+
+    /** Ends a request whose time is over. */
+    private void expire() {
+        if (done) {
+            return;
+        }
+        boolean inProgress = attempt != null && attempt.isSent();
+        if (attempt != null) {
+            attempt.cancel(Ending.TIMED_OUT);
+        }
+        if (inProgress || mayHaveRun) {
+            refuse(Refusal.of(Reason.LATE), admitted.team());
+        } else {
+            refuse(Refusal.of(Reason.BUSY).retryAfter(DEFAULT_RETRY_AFTER), admitted.team());
+        }
+    }
+
+    private void pass(KnownTarget target, TargetAnswer received, long targetNanos, Optional<String> load) {
+        if (done) {
+            received.body().release();
+            return;
+        }
+        line(LineKind.ANSWERED)
+                .put("status", received.status().code())
+                .put("target", target.name())
+                .put("load", load.orElse(null))
+                .putNanos("targetMs", targetNanos)
+                .write();
+        HttpHeaders headers = server.forwardHeaders().toCaller(received.headers());
+        complete(new Answer(received.status().code(), headers, received.body()));
+    }
+
+    void refuse(Refusal refusal, String team) {
+        if (done) {
+            return;
+        }
+        boolean notRun = refusal.status() == 503 || refusal.status() == 429;
+        Reason reason = mayHaveRun && notRun ? Reason.LOST : refusal.reason();
+        line(reason.outcome() == org.knapweedhatch.answer.Outcome.NOT_RUN ? LineKind.REFUSED : LineKind.FAILED)
+                .put("reason", reason.name())
+                .put("team", team)
+                .put("sent", sent)
+                .write();
+        complete(OwnAnswers.of(reason, refusal.retry(), id, context.headers()));
+    }
+
+    private EventLog.Line line(LineKind kind) {
+        EventLog.Line line = context.log().line(kind).put("request", id);
+        if (admitted != null) {
+            line.put("route", admitted.route().name()).put("service", admitted.service());
+            line.put("object", head.headers().get(context.headers().affinity()));
+        }
+        return line.putNanos("afterMs", context.time().nanos() - arrivedNanos)
+                .put("configuration", context.configuration().number());
+    }
+
+    private void complete(Answer whole) {
+        answer = whole;
+        finish();
+        connection.flushAnswers();
+    }
+
+    private void finish() {
+        done = true;
+        if (giveUp != null) {
+            giveUp.cancel(false);
+        }
+        body.release();
+    }
+
+    /** The caller's connection is gone: what may run again is given up, the rest runs to its end. */
+    void callerGone() {
+        callerGone = true;
+        if (done) {
+            if (answer != null) {
+                answer.body().release();
+                answer = null;
+            }
+            return;
+        }
+        if (admitted == null) {
+            finish();
+            return;
+        }
+        line(LineKind.FAILED)
+                .put("reason", Reason.CALLER_GONE.name())
+                .put("sent", sent)
+                .write();
+        if (attempt == null || kind().mayRepeat() || !attempt.isSent()) {
+            if (attempt != null) {
+                attempt.cancel(Ending.CANCELLED);
+            }
+            finish();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
@@ -0,0 +1,44 @@
+package org.knapweedhatch.front;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.key.KeyRing;
+import org.knapweedhatch.log.EventLog;
+import org.knapweedhatch.message.HeaderScheme;
+import org.knapweedhatch.place.Placer;
+import org.knapweedhatch.world.Configuration;
+
+/** What requests need of their host. */
+public interface FrontContext {
+
+    /** Returns the clock. */
+    TimeSource time();
+
+    /** Returns the log. */
+    EventLog log();
+
+    /** Returns the names of headers. */
+    HeaderScheme headers();
+
+    /** Returns the configuration in force; number 0 before the first one. */
+    Configuration configuration();
+
+    /** Returns the keys of the configuration in force. */
+    KeyRing keys();
+
+    /** Returns the choice of targets. */
+    Placer placer();
+
+    /** Takes one request out of a team's rate; returns how long to wait where it is spent. */
+    Optional<Duration> spend(String team);
+
+    /** Takes one retry out of a service's budget; returns false where it is spent. */
+    boolean mayRetry(String service);
+
+    /** Counts a request that is sent to a service for the first time. */
+    void sentFirst(String service);
+
+    /** Returns whether the host is about to stop, so that connections are given back. */
+    boolean leaving();
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -0,0 +1,169 @@
+package org.knapweedhatch.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.knapweedhatch.target.KnownTarget;
+import org.knapweedhatch.world.Address;
+
+/**
+ * Listens for callers and carries their requests to targets.
+ *
+ * <pre>{@code
+ * FrontServer server = FrontServer.listen(address, context);
+ * server.stop();
+ * }</pre>
+ */
+public final class FrontServer {
+
+    /** Connections that wait to be accepted; a burst of callers that come back at once. */
+    private static final int BACKLOG = 2_048;
+
+    private static final long SWEEP_MS = 500;
+
+    /** An idle connection is kept a little longer than callers may use it. */
+    private static final Duration IDLE_MARGIN = Duration.ofSeconds(1);
+
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    private final FrontContext context;
+    private final EventLoopGroup loops =
+            new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("front", true), NioIoHandler.newFactory());
+    private final EventLoop loop = loops.next();
+    private final Admission admission;
+    private final ForwardHeaders forwardHeaders;
+    private final TargetConnections connections;
+    private final Set<CallerConnection> callers = new HashSet<>();
+    private Channel listener;
+
+    private FrontServer(FrontContext context) {
+        this.context = context;
+        admission = new Admission(context);
+        forwardHeaders = ForwardHeaders.of(context.headers());
+        connections = new TargetConnections(loop, context.headers(), context.time());
+    }
+
+    /** Listens at an address; throws {@link IllegalStateException} where that cannot be bound. */
+    public static FrontServer listen(Address address, FrontContext context) {
+        FrontServer server = new FrontServer(context);
+        ChannelFuture bound = new ServerBootstrap()
+                .group(server.loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(server.new Pipeline())
+                .bind(address.socket())
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            server.loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            throw new IllegalStateException(
+                    "front: cannot listen at " + address + ": " + bound.cause().getMessage());
+        }
+        server.listener = bound.channel();
+        server.loop.scheduleWithFixedDelay(server::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        return server;
+    }
+
+    private void sweep() {
+        long now = context.time().nanos();
+        long idle = context.configuration()
+                .callerLimits()
+                .idleTimeout()
+                .plus(IDLE_MARGIN)
+                .toNanos();
+        Set.copyOf(callers).forEach(caller -> caller.sweep(now, idle));
+        connections.sweep(
+                context.placer().targets().stream().map(KnownTarget::name).collect(Collectors.toSet()));
+    }
+
+    FrontContext context() {
+        return context;
+    }
+
+    Admission admission() {
+        return admission;
+    }
+
+    ForwardHeaders forwardHeaders() {
+        return forwardHeaders;
+    }
+
+    TargetConnections connections() {
+        return connections;
+    }
+
+    void closed(CallerConnection caller) {
+        callers.remove(caller);
+    }
+
+    /** Returns how many connections of callers are open; may be off by those that open or close now. */
+    public int openConnections() {
+        return callers.size();
+    }
+
+    /** Closes the connections on which nothing is in progress. */
+    public void closeIdle() {
+        loop.execute(() ->
+                Set.copyOf(callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close));
+    }
+
+    /** Accepts no more connections. */
+    public void stopAccepting() {
+        listener.close();
+    }
+
+    /** Stops at once; what is in progress is cut. */
+    public void stop() {
+        listener.close().awaitUninterruptibly();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /** Decodes requests and encodes answers. */
+    private final class Pipeline extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            CallerConnection caller = new CallerConnection(FrontServer.this);
+            callers.add(caller);
+            int headBytes = context.configuration().callerLimits().headerBytes();
+            channel.pipeline()
+                    .addLast(new BytesWatch(caller))
+                    .addLast(new HttpRequestDecoder(MAX_LINE_BYTES, headBytes, MAX_CHUNK_BYTES))
+                    .addLast(new HttpResponseEncoder())
+                    .addLast(caller);
+        }
+    }
+
+    /** Tells a connection of the bytes that reach it before they are decoded. */
+    private static final class BytesWatch extends ChannelInboundHandlerAdapter {
+        private final CallerConnection caller;
+
+        BytesWatch(CallerConnection caller) {
+            this.caller = caller;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            caller.bytesCame();
+            ctx.fireChannelRead(message);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/front/OwnAnswers.java
@@ -0,0 +1,44 @@
+package org.knapweedhatch.front;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import org.knapweedhatch.answer.Reason;
+import org.knapweedhatch.message.HeaderNames;
+import org.knapweedhatch.message.HeaderScheme;
+
+/** The answers that a host gives itself, as {@code application/problem+json} (RFC 9457). */
+final class OwnAnswers {
+
+    private static final int UNAUTHORIZED = 401;
+
+    private OwnAnswers() {}
+
+    static CallerRequest.Answer of(Reason reason, Optional<Duration> retryAfter, String id, HeaderScheme scheme) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
+        headers.set(HeaderNames.OUTCOME, reason.outcome().headerValue());
+        if (!id.isEmpty()) {
+            headers.set(scheme.requestId(), id);
+        }
+        retryAfter.ifPresent(wait -> headers.set(HttpHeaderNames.RETRY_AFTER, seconds(wait)));
+        String json = "{\"type\":\"" + reason.type() + "\",\"title\":\"" + reason.title() + "\"}";
+        return new CallerRequest.Answer(statusOf(reason), headers, Unpooled.copiedBuffer(json, StandardCharsets.UTF_8));
+    }
+
+    private static int statusOf(Reason reason) {
+        return switch (reason) {
+            case KEY_MISSING, KEY_MALFORMED, KEY_UNKNOWN, KEY_WITHDRAWN -> UNAUTHORIZED;
+            default -> reason.status();
+        };
+    }
+
+    /** Returns seconds with three decimals; callers of this interface read fractions. */
+    private static String seconds(Duration wait) {
+        return String.format(java.util.Locale.ROOT, "%.3f", wait.toNanos() / 1e9);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -0,0 +1,306 @@
+package org.knapweedhatch.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.knapweedhatch.message.HeaderScheme;
+
+/**
+ * One connection to a target, which carries one request at a time.
+ *
+ * <p>An answer that echoes another request's id belongs to an earlier request and is read past. Anything else that
+ * comes unasked ends the connection.
+ */
+final class TargetConnection extends ChannelInboundHandlerAdapter {
+
+    /** Largest answer that is held; larger ones are broken off. */
+    static final int MAX_ANSWER_BYTES = 16 << 20;
+
+    /** Time for which an idle connection is used where the target states none; shorter than usual idle timeouts. */
+    private static final Duration DEFAULT_KEEP = Duration.ofSeconds(8);
+
+    /** A connection is given up this long before the target would close it, for a request on its way. */
+    private static final Duration KEEP_MARGIN = Duration.ofMillis(1_500);
+
+    private static final Pattern TIMEOUT = Pattern.compile("(?:^|[,;\\s])timeout=(\\d{1,6})");
+
+    /** What becomes of a request; exactly one method is called, once. */
+    interface Listener {
+        /** The whole answer is here; the listener releases its body. */
+        void answered(TargetAnswer answer);
+
+        /** No whole answer will come; the target may have run the request where {@code written}. */
+        void broken(String why, boolean written);
+    }
+
+    /** Learns when the connection may carry another request, and when it is gone. */
+    interface Owner {
+        void idle(TargetConnection connection);
+
+        void closed(TargetConnection connection);
+    }
+
+    private final HeaderScheme scheme;
+    private final Owner owner;
+    private ChannelHandlerContext context;
+    private Forward request;
+    private Listener listener;
+    private HttpResponse head;
+    private CompositeByteBuf body;
+    private boolean skipping;
+    private boolean requestWritten;
+    private boolean answerRead;
+    private boolean unusable;
+    private boolean failed;
+    private Duration keep = DEFAULT_KEEP;
+    private long idleSinceNanos;
+
+    TargetConnection(HeaderScheme scheme, Owner owner) {
+        this.scheme = scheme;
+        this.owner = owner;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    /** Sends a request; the listener may be called before this returns. */
+    void send(Forward forward, Listener sink) {
+        if (!context.channel().isActive()) {
+            sink.broken("the connection was closed before the request was sent", false);
+            return;
+        }
+        request = forward;
+        listener = sink;
+        requestWritten = false;
+        answerRead = false;
+        DefaultFullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                forward.method(),
+                forward.uri(),
+                forward.body().retainedDuplicate(),
+                forward.headers(),
+                DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
+        if (forward.body().isReadable() || !hasNoBody(forward.method())) {
+            HttpUtil.setContentLength(message, forward.body().readableBytes());
+        }
+        context.writeAndFlush(message).addListener(written -> {
+            if (written.isSuccess()) {
+                requestWritten = true;
+                finishIfDone();
+            } else {
+                fail("the request could not be sent: " + written.cause().getMessage());
+            }
+        });
+    }
+
+    private static boolean hasNoBody(HttpMethod method) {
+        return HttpMethod.GET.equals(method) || HttpMethod.HEAD.equals(method) || HttpMethod.DELETE.equals(method);
+    }
+
+    /** Returns whether the answer to a HEAD request is awaited, which has no body whatever its headers say. */
+    boolean expectsNoBody() {
+        return request != null && HttpMethod.HEAD.equals(request.method());
+    }
+
+    /** Gives the request up, where it is still in progress; the target sees the connection close. */
+    void cancel() {
+        listener = null;
+        failed = true;
+        context.close();
+    }
+
+    /** Closes an idle connection. */
+    void close() {
+        context.close();
+    }
+
+    boolean isUsable(long nowNanos) {
+        return context.channel().isActive() && !unusable && nowNanos - idleSinceNanos < keep.toNanos();
+    }
+
+    /** Returns how long the connection has been idle, in nanoseconds. */
+    long idleNanos(long nowNanos) {
+        return nowNanos - idleSinceNanos;
+    }
+
+    void idleSince(long nanos) {
+        idleSinceNanos = nanos;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (failed) {
+                return;
+            }
+            if (message instanceof HttpResponse response) {
+                begin(response);
+            }
+            if (message instanceof HttpContent content) {
+                take(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void begin(HttpResponse response) {
+        if (response.decoderResult().isFailure()) {
+            fail("what came is no HTTP answer");
+            return;
+        }
+        if (response.status().codeClass() == io.netty.handler.codec.http.HttpStatusClass.INFORMATIONAL) {
+            skipping = true;
+            return;
+        }
+        if (request == null || answerRead) {
+            fail("an answer came that nobody asked for");
+            return;
+        }
+        String echoed = response.headers().get(scheme.requestId());
+        skipping = !request.id().isEmpty() && !request.id().equals(echoed);
+        if (!skipping) {
+            head = response;
+            body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+        }
+    }
+
+    private void take(HttpContent content) {
+        if (failed) {
+            return;
+        }
+        if (content.decoderResult().isFailure()) {
+            fail("the answer's body is malformed");
+            return;
+        }
+        boolean last = content instanceof LastHttpContent;
+        if (skipping) {
+            skipping = !last;
+            return;
+        }
+        if (head == null) {
+            return;
+        }
+        ByteBuf bytes = content.content();
+        if (bytes.isReadable()) {
+            body.addComponent(true, bytes.retain());
+            if (body.readableBytes() > MAX_ANSWER_BYTES) {
+                fail("the answer is larger than " + MAX_ANSWER_BYTES + " bytes");
+                return;
+            }
+        }
+        if (last) {
+            answerRead = true;
+            finishIfDone();
+        }
+    }
+
+    /** Passes the answer on once it is read and the request is written whole, so that the connection is clean. */
+    private void finishIfDone() {
+        if (!answerRead || head == null) {
+            return;
+        }
+        boolean clean = requestWritten && HttpUtil.isKeepAlive(head) && isDelimited(head);
+        keep = keepOf(head.headers());
+        TargetAnswer answer = new TargetAnswer(head.status(), head.headers(), body);
+        Listener sink = listener;
+        head = null;
+        body = null;
+        request = null;
+        listener = null;
+        unusable = !clean;
+        if (sink == null) {
+            answer.body().release();
+        } else {
+            sink.answered(answer);
+        }
+        if (clean) {
+            context.channel().eventLoop().execute(this::becomeIdle);
+        } else {
+            context.close();
+        }
+    }
+
+    /** Runs after what was read together with the answer, so that unasked bytes behind it are seen first. */
+    private void becomeIdle() {
+        if (context.channel().isActive() && !unusable && request == null) {
+            owner.idle(this);
+        }
+    }
+
+    private boolean isDelimited(HttpResponse answer) {
+        HttpHeaders headers = answer.headers();
+        return expectsNoBody()
+                || answer.status().equals(HttpResponseStatus.NO_CONTENT)
+                || answer.status().equals(HttpResponseStatus.NOT_MODIFIED)
+                || headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                || headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true);
+    }
+
+    private static Duration keepOf(HttpHeaders headers) {
+        Optional<String> stated = Optional.ofNullable(headers.get("Keep-Alive"));
+        Matcher matcher = TIMEOUT.matcher(stated.orElse(""));
+        if (!matcher.find()) {
+            return DEFAULT_KEEP;
+        }
+        Duration timeout = Duration.ofSeconds(Long.parseLong(matcher.group(1)));
+        Duration used = timeout.minus(KEEP_MARGIN);
+        return used.isNegative() ? timeout.dividedBy(2) : used;
+    }
+
+    private void fail(String why) {
+        if (failed) {
+            return;
+        }
+        failed = true;
+        unusable = true;
+        releaseBody();
+        Listener sink = listener;
+        listener = null;
+        context.close();
+        if (sink != null) {
+            sink.broken(why, true);
+        }
+    }
+
+    private void releaseBody() {
+        if (body != null) {
+            body.release();
+            body = null;
+            head = null;
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        fail("the connection broke: " + cause.getMessage());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        fail("the target closed the connection");
+        releaseBody();
+        owner.closed(this);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/log/LineKind.java
@@ -0,0 +1,49 @@
+package org.knapweedhatch.log;
+
+import java.util.Locale;
+
+/** The kinds of log lines; docs/LOGS.md lists the fields of each. */
+public enum LineKind {
+    /** The process begins, ends, or has read its settings anew. */
+    PROCESS(10),
+    /** A dependency was lost or is back: the store, another host. */
+    DEPENDENCY(50),
+    /** A configuration came into force or was rejected. */
+    CONFIGURATION(50),
+    /** A belief about a target changed. */
+    TARGET(200),
+    /** A failure domain was evacuated or taken back. */
+    EVACUATION(20),
+    /** Another host was met, leaves, or fell silent. */
+    HOST(100),
+    /** A request was admitted and sent to a target. */
+    SENT(400),
+    /** A request was answered with a target's answer. */
+    ANSWERED(400),
+    /** A request was refused as not run. */
+    REFUSED(400),
+    /** A request ended without a target's answer, or its caller left. */
+    FAILED(400),
+    /** An attempt ended without an answer that can be passed on. */
+    ATTEMPT(400),
+    /** Lines were left out. */
+    DROPPED(10),
+    /** A message of a library or of a part without a kind of its own. */
+    MESSAGE(50);
+
+    private final int linesPerSecond;
+
+    LineKind(int linesPerSecond) {
+        this.linesPerSecond = linesPerSecond;
+    }
+
+    /** Returns how many lines of this kind are written per second at most; several times those of a busy host. */
+    public int linesPerSecond() {
+        return linesPerSecond;
+    }
+
+    /** Returns the name as it stands in a line. */
+    public String text() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines on standard output, bounded in number and never blocking. */
+package org.knapweedhatch.log;
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/settings/FrontSettings.java
@@ -0,0 +1,166 @@
+package org.knapweedhatch.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.knapweedhatch.helper.Validate;
+import org.knapweedhatch.ini.Checked;
+import org.knapweedhatch.ini.FaultList;
+import org.knapweedhatch.ini.Fields;
+import org.knapweedhatch.ini.IniFile;
+import org.knapweedhatch.ini.Section;
+import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.Host;
+import org.knapweedhatch.world.Terms;
+
+/**
+ * The settings of a host that runs on the users' platform.
+ *
+ * <pre>{@code
+ * Checked<FrontSettings> settings = FrontSettings.read(Path.of("front.ini"));
+ * }</pre>
+ *
+ * @param host this host: name, place and addresses
+ * @param ready address at which the platform asks whether the host is ready
+ * @param directory address at which callers ask which hosts to use
+ * @param metrics address of the admin pages
+ * @param seeds peer addresses to try before other hosts are known
+ * @param platform address of the platform's store
+ * @param heartbeat how often targets renew their registration
+ * @param secret secret that all hosts of the deployment share
+ * @param domains region of each failure domain
+ * @param terms what the operator grants the system
+ */
+public record FrontSettings(
+        Host host,
+        Address ready,
+        Address directory,
+        Address metrics,
+        List<Address> seeds,
+        Address platform,
+        Duration heartbeat,
+        String secret,
+        Map<String, String> domains,
+        Terms terms) {
+
+    private static final String HOST = "host";
+    private static final String LISTEN = "listen";
+    private static final String PLATFORM = "platform";
+    private static final String FLEET = "fleet";
+    private static final String DOMAINS = "domains";
+    private static final String TERMS = "terms";
+    private static final List<String> SECTIONS = List.of(HOST, LISTEN, PLATFORM, FLEET, DOMAINS, TERMS);
+    private static final Duration SHORTEST = Duration.ofMillis(1);
+    private static final Duration LONGEST = Duration.ofMinutes(10);
+    private static final double MOST = 1_000_000;
+    private static final double LEAST_SHIFT = 0.001;
+
+    /** Copies the collections. */
+    public FrontSettings {
+        Validate.notNull(host, "host");
+        seeds = List.copyOf(seeds);
+        domains = Map.copyOf(domains);
+        Validate.notNull(terms, "terms");
+    }
+
+    /** Returns whether a file has the sections of these settings rather than those of {@link Settings}. */
+    public static boolean fits(IniFile file) {
+        return file.section(LISTEN).isPresent();
+    }
+
+    /** Reads and checks a settings file; an unreadable file is a fault of the file. */
+    public static Checked<FrontSettings> read(Path file) {
+        try {
+            return IniFile.parse(file.toString(), Files.readAllBytes(file)).then(FrontSettings::check);
+        } catch (IOException e) {
+            FaultList faults = FaultList.of(file.toString());
+            faults.add(0, "", "cannot be read: " + e.getClass().getSimpleName());
+            return faults.checked();
+        }
+    }
+
+    /** Checks a parsed file; the result lists every fault with its line and field. */
+    public static Checked<FrontSettings> check(IniFile file) {
+        FaultList faults = FaultList.of(file.name());
+        for (Section section : file.sections()) {
+            if (!SECTIONS.contains(section.title())) {
+                faults.add(section.line(), section.title(), "unknown section");
+            }
+        }
+        Fields listen = section(file, LISTEN, faults);
+        Fields platform = section(file, PLATFORM, faults);
+        Fields fleet = section(file, FLEET, faults);
+        FrontSettings settings = new FrontSettings(
+                host(section(file, HOST, faults)),
+                listen.address("ready"),
+                listen.address("directory"),
+                listen.address("metrics"),
+                fleet.addresses("seeds"),
+                platform.address("address"),
+                platform.duration("heartbeat", SHORTEST, LONGEST),
+                secret(fleet),
+                domains(section(file, DOMAINS, faults)),
+                terms(section(file, TERMS, faults)));
+        listen.rejectOthers();
+        platform.rejectOthers();
+        fleet.rejectOthers();
+        return faults.isEmpty() ? Checked.valid(settings) : faults.checked();
+    }
+
+    private static Fields section(IniFile file, String title, FaultList faults) {
+        Optional<Section> section = file.section(title);
+        if (section.isEmpty()) {
+            faults.add(0, title, "section is missing");
+        }
+        return Fields.of(section.orElse(new Section(List.of(title), 0, List.of())), faults);
+    }
+
+    private static Host host(Fields fields) {
+        Host host = new Host(
+                Settings.orUnnamed(fields.text("name")),
+                Settings.orUnnamed(fields.text("region")),
+                Settings.orUnnamed(fields.text("failure-domain")),
+                fields.address("edge"),
+                fields.address("peer"));
+        fields.rejectOthers();
+        return host;
+    }
+
+    private static String secret(Fields fleet) {
+        String secret = fleet.text("secret");
+        if (!secret.isEmpty() && secret.length() < Settings.MIN_SECRET_LENGTH) {
+            fleet.fault("secret", "secret needs at least " + Settings.MIN_SECRET_LENGTH + " characters");
+        }
+        return Settings.orUnnamed(secret);
+    }
+
+    private static Map<String, String> domains(Fields fields) {
+        Map<String, String> domains = new HashMap<>();
+        fields.section().fields().forEach(field -> domains.put(field.name(), fields.text(field.name())));
+        return domains;
+    }
+
+    private static Terms terms(Fields fields) {
+        Terms usual = Terms.usual();
+        Terms terms = new Terms(
+                fields.duration("stop-grace", Duration.ZERO, LONGEST, usual.stopGrace()),
+                fields.duration("drain-time", Duration.ZERO, LONGEST, usual.drainTime()),
+                fields.duration("longest-look-up", Duration.ZERO, LONGEST, usual.longestLookUp()),
+                fields.number("retry-share", 0, MOST, usual.retryShare()),
+                fields.number("retry-slack", 0, MOST, usual.retrySlack()),
+                fields.duration("retry-window", SHORTEST, LONGEST, usual.retryWindow()),
+                fields.duration("rate-window", SHORTEST, LONGEST, usual.rateWindow()),
+                fields.number("rate-overage", 0, MOST, usual.rateOverage()),
+                fields.number("rate-slack", 0, MOST, usual.rateSlack()),
+                fields.number("cold-overage", 1, MOST, usual.coldOverage()),
+                fields.number("cold-slack", 0, MOST, usual.coldSlack()),
+                fields.number("region-shift", LEAST_SHIFT, 1, usual.regionShift()));
+        fields.rejectOthers();
+        return terms;
+    }
+}
--- a/daemon/src/main/java/org/knapweedhatch/settings/Settings.java
+++ b/daemon/src/main/java/org/knapweedhatch/settings/Settings.java
@@ -44,7 +44,7 @@
     private static final String FLEET = "fleet";
     private static final String DRAIN = "drain";
     private static final List<String> SECTIONS = List.of(HOST, PLATFORM, FLEET, DRAIN);
-    private static final int MIN_SECRET_LENGTH = 16;
+    static final int MIN_SECRET_LENGTH = 16;
     private static final Duration DEFAULT_DRAIN_TIME = Duration.ofSeconds(10);
     private static final Duration DEFAULT_STOP_TIMEOUT = Duration.ofSeconds(30);
     private static final Duration LONGEST_DRAIN = Duration.ofMinutes(10);
@@ -72,7 +72,8 @@
         return IniFile.parse(name, bytes).then(Settings::check);
     }
 
-    private static Checked<Settings> check(IniFile file) {
+    /** Checks a parsed file; the result lists every fault with its line and field. */
+    public static Checked<Settings> check(IniFile file) {
         FaultList faults = FaultList.of(file.name());
         for (Section section : file.sections()) {
             if (!SECTIONS.contains(section.title())) {
@@ -127,7 +128,7 @@
         return orUnnamed(secret);
     }
 
-    private static String orUnnamed(String text) {
+    static String orUnnamed(String text) {
         return text.isEmpty() ? "unnamed" : text;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/store/KindFeed.java
@@ -0,0 +1,131 @@
+package org.knapweedhatch.store;
+
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+import org.knapweedhatch.fault.Fault;
+import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.platform.Changes;
+import org.knapweedhatch.platform.Listing;
+import org.knapweedhatch.platform.ObjectApi;
+import org.knapweedhatch.platform.Problem;
+
+/**
+ * Follows all objects under a prefix on a thread of its own: lists them once, then watches, through failures of the
+ * store and the loss of its history.
+ */
+public final class KindFeed implements Runnable {
+
+    /** A watch is renewed so often; a connection that fell silent is noticed after this time and a call's timeout. */
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(5);
+
+    /** Time that changes which come together are given to be answered by one call. */
+    private static final Duration GATHER = Duration.ofMillis(50);
+
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+    private static final Duration MAX_PAUSE = Duration.ofSeconds(1);
+
+    private final ObjectApi api;
+    private final String prefix;
+    private final Sink sink;
+    private volatile boolean stopped;
+    private long asOf;
+    private int failures;
+
+    /** Takes in what the store holds; called on the feed's thread. */
+    public interface Sink {
+        /** All objects there are. */
+        void listed(Listing listing);
+
+        /** What changed since the last call. */
+        void changed(Changes changes);
+
+        /** A call failed; called once for each failure. */
+        void failed(Fault fault);
+
+        /** A call succeeded after one failed; called before what it brought. */
+        void regained();
+    }
+
+    private KindFeed(ObjectApi api, String prefix, Sink sink) {
+        this.api = api;
+        this.prefix = prefix;
+        this.sink = sink;
+    }
+
+    /** Starts to follow the objects under a prefix on a daemon thread. */
+    public static KindFeed start(ObjectApi api, String prefix, Sink sink) {
+        KindFeed feed = new KindFeed(api, prefix, sink);
+        Thread thread = new Thread(feed, "feed-" + prefix);
+        thread.setDaemon(true);
+        thread.start();
+        return feed;
+    }
+
+    /** Ends the feed after the call in progress. */
+    public void stop() {
+        stopped = true;
+    }
+
+    @Override
+    public void run() {
+        while (!stopped) {
+            if (asOf == 0) {
+                list();
+            } else {
+                watch();
+            }
+        }
+    }
+
+    private void list() {
+        Result<Listing> listing = api.listing(prefix);
+        if (!listing.isOk()) {
+            fail(listing.fault());
+            return;
+        }
+        succeed();
+        asOf = Math.max(1, listing.orThrow().asOf());
+        sink.listed(listing.orThrow());
+    }
+
+    private void watch() {
+        Result<Changes> changes = api.changes(prefix, asOf, WATCH_WAIT);
+        if (!changes.isOk()) {
+            boolean expired = Problem.EXPIRED.is(changes.fault());
+            asOf = 0;
+            if (!expired) {
+                fail(changes.fault());
+            }
+            return;
+        }
+        succeed();
+        asOf = Math.max(asOf, changes.orThrow().asOf());
+        if (!changes.orThrow().isEmpty()) {
+            sink.changed(changes.orThrow());
+            pause(GATHER);
+        }
+    }
+
+    private void succeed() {
+        if (failures > 0) {
+            failures = 0;
+            sink.regained();
+        }
+    }
+
+    private void fail(Fault fault) {
+        sink.failed(fault);
+        long bound = Math.min(MAX_PAUSE.toMillis(), FIRST_PAUSE.toMillis() << Math.min(failures, 10));
+        failures++;
+        pause(Duration.ofMillis(ThreadLocalRandom.current().nextLong(bound / 2, bound + 1)));
+    }
+
+    private void pause(Duration span) {
+        try {
+            Thread.sleep(span.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            stopped = true;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/store/package-info.java
@@ -0,0 +1,2 @@
+/** Follows the objects that the platform's store holds. */
+package org.knapweedhatch.store;
--- a/demo/src/main/java/org/knapweedhatch/demo/Caller.java
+++ b/demo/src/main/java/org/knapweedhatch/demo/Caller.java
@@ -13,9 +13,9 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.knapweedhatch.fault.Result;
 import org.knapweedhatch.fault.Step;
-import org.knapweedhatch.platform.http.HttpAnswer;
-import org.knapweedhatch.platform.http.HttpCall;
-import org.knapweedhatch.platform.http.HttpCaller;
+import org.knapweedhatch.http.HttpAnswer;
+import org.knapweedhatch.http.HttpCall;
+import org.knapweedhatch.http.HttpCaller;
 import org.knapweedhatch.world.Host;
 
 /** Asks the system which hosts to use, keeps the answer for its time to live, and calls the best one that answers. */
--- a/platform/src/main/java/org/knapweedhatch/platform/http/Exchange.java
+++ b/http/src/main/java/org/knapweedhatch/http/Exchange.java
@@ -1,4 +1,4 @@
-package org.knapweedhatch.platform.http;
+package org.knapweedhatch.http;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
--- a/platform/src/main/java/org/knapweedhatch/platform/http/HttpCall.java
+++ b/http/src/main/java/org/knapweedhatch/http/HttpCall.java
@@ -1,4 +1,4 @@
-package org.knapweedhatch.platform.http;
+package org.knapweedhatch.http;
 
 import java.net.URI;
 import java.time.Duration;
--- a/platform/src/test/java/org/knapweedhatch/platform/http/HttpCallerTest.java
+++ b/http/src/test/java/org/knapweedhatch/http/HttpCallerTest.java
@@ -1,4 +1,4 @@
-package org.knapweedhatch.platform.http;
+package org.knapweedhatch.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/standin/src/main/java/org/knapweedhatch/standin/PlatformAdmin.java
+++ b/standin/src/main/java/org/knapweedhatch/standin/PlatformAdmin.java
@@ -10,7 +10,7 @@
 import java.time.Duration;
 import org.knapweedhatch.platform.ListedHost;
 import org.knapweedhatch.platform.MemoryPlatform;
-import org.knapweedhatch.platform.http.Wire;
+import org.knapweedhatch.platform.store.Wire;
 
 /** Sets faults and the host list of a platform stand-in, and shows its call counts. */
 final class PlatformAdmin implements HttpHandler {
--- a/standin/src/test/java/org/knapweedhatch/standin/HttpPlatformTest.java
+++ b/standin/src/test/java/org/knapweedhatch/standin/HttpPlatformTest.java
@@ -13,14 +13,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.http.HttpCall;
+import org.knapweedhatch.http.HttpCaller;
 import org.knapweedhatch.platform.ListedHost;
 import org.knapweedhatch.platform.MemoryPlatform;
 import org.knapweedhatch.platform.Problem;
 import org.knapweedhatch.platform.StoredObject;
-import org.knapweedhatch.platform.http.HttpCall;
-import org.knapweedhatch.platform.http.HttpCaller;
-import org.knapweedhatch.platform.http.HttpPlatform;
-import org.knapweedhatch.platform.http.Wire;
+import org.knapweedhatch.platform.store.HttpPlatform;
+import org.knapweedhatch.platform.store.Wire;
 import org.knapweedhatch.world.Address;
 import org.knapweedhatch.world.Host;
 
