--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/Rehearsal.java
@@ -0,0 +1,171 @@
+package org.knapweedhatch.daemon;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.log.EventLog;
+import org.knapweedhatch.settings.FrontSettings;
+import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.Host;
+import org.knapweedhatch.world.Terms;
+
+/**
+ * Plays some requests through a host on loopback and ends.
+ *
+ * <p>The build runs it to record the classes that a host loads; with them in an archive, a process that is started
+ * anew answers its first requests sooner.
+ */
+public final class Rehearsal {
+
+    private static final int REQUESTS = 300;
+    private static final Duration SETTLE = Duration.ofSeconds(3);
+    private static final String ROUTE = "{\"Name\":\"r\",\"Host\":\"a.example\",\"PathPrefix\":\"/a/\",\"Type\":\"%s\","
+            + "\"Timeout\":\"1s\",\"TargetLatency\":\"250ms\",\"Service\":\"s\",\"MaxAttempts\":2,\"Sticky\":true}";
+    private static final String CONFIGURATION = "{\"Version\":\"r1\",\"Routes\":[" + ROUTE.formatted("safe")
+            + "],\"Services\":[{\"Name\":\"s\",\"HealthPath\":\"/health\",\"MaxConns\":330,\"ColdStart\":\"3s\","
+            + "\"ColdPerS\":14.0}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":67108864,"
+            + "\"HeaderTimeout\":\"3s\",\"IdleTimeout\":\"15s\"},\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"rehearsal\"],"
+            + "\"RatePerS\":1000,\"Burst\":1000}]}";
+
+    private final ServerSocket listener;
+
+    private Rehearsal(ServerSocket listener) {
+        this.listener = listener;
+    }
+
+    /** Runs the rehearsal. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Rehearsal rehearsal = new Rehearsal(socket);
+        Thread server = new Thread(rehearsal::accept, "rehearsal");
+        server.setDaemon(true);
+        server.start();
+        rehearsal.play();
+    }
+
+    private void play() throws IOException, InterruptedException {
+        List<Address> addresses = freeAddresses(5);
+        Host host = new Host("rehearsal-1", "here", "here-a", addresses.get(0), addresses.get(1));
+        Host other = new Host("rehearsal-2", "here", "here-b", address(0), addresses.get(1));
+        FrontSettings settings = new FrontSettings(
+                host,
+                addresses.get(2),
+                addresses.get(3),
+                addresses.get(4),
+                List.of(other.peer()),
+                address(listener.getLocalPort()),
+                Duration.ofSeconds(1),
+                "a-secret-of-the-rehearsal",
+                Map.of("here-a", "here"),
+                Terms.usual());
+        EventLog log = EventLog.start(OutputStream.nullOutputStream(), host.name(), TimeSource.system());
+        FrontHost running = FrontHost.start(settings, log, TimeSource.system());
+        Thread.sleep(SETTLE.toMillis());
+        for (int i = 0; i < REQUESTS; i++) {
+            call(host.edge(), "/a/" + i, "GET", "");
+            call(host.edge(), "/a/" + i, "POST", "body");
+        }
+        call(addresses.get(2), "/ready", "GET", "");
+        call(addresses.get(3), "/resolve?Name=a.example&Region=here&Zone=here-a", "GET", "");
+        call(addresses.get(4), "/-/metrics", "GET", "");
+        running.stop();
+        log.close();
+    }
+
+    private static Address address(int port) {
+        return new Address(InetAddress.getLoopbackAddress().getHostAddress(), Math.max(1, port));
+    }
+
+    private static List<Address> freeAddresses(int count) throws IOException {
+        List<Address> addresses = new ArrayList<>();
+        List<ServerSocket> held = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            held.add(socket);
+            addresses.add(address(socket.getLocalPort()));
+        }
+        for (ServerSocket socket : held) {
+            socket.close();
+        }
+        return addresses;
+    }
+
+    private static void call(Address address, String path, String method, String body) throws IOException {
+        try (Socket socket = new Socket(address.ip(), address.port())) {
+            String head = method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Knapweedhatch-Attempt-Id: 1\r\n"
+                    + "X-Knapweedhatch-Key: rehearsal\r\nX-Knapweedhatch-Affinity-Key: o\r\n"
+                    + "X-Knapweedhatch-Deadline-Ms: 1000\r\nContent-Length: " + body.length()
+                    + "\r\nConnection: close\r\n\r\n" + body;
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            socket.getInputStream().readAllBytes();
+        }
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket caller = listener.accept();
+                Thread thread = new Thread(() -> serve(caller), "rehearsal-caller");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("the rehearsal's server broke", e);
+        }
+    }
+
+    /** Answers as the store and as the only target there is. */
+    private void serve(Socket caller) {
+        try (caller) {
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(caller.getInputStream(), StandardCharsets.US_ASCII));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                int length = 0;
+                for (String header = in.readLine(); header != null && !header.isEmpty(); header = in.readLine()) {
+                    if (header.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                        length = Integer.parseInt(header.substring(header.indexOf(':') + 1).trim());
+                    }
+                }
+                in.skip(length);
+                answer(line.split(" ")[1], caller.getOutputStream());
+            }
+        } catch (IOException | InterruptedException e) {
+            // The host has closed its connection: the rehearsal ends.
+        }
+    }
+
+    private void answer(String path, OutputStream out) throws IOException, InterruptedException {
+        String body = "answer";
+        if (path.contains("Watch=")) {
+            Thread.sleep(SETTLE.toMillis());
+            body = "{\"events\":[],\"AsOf\":3}";
+        } else if (path.startsWith("/objects/config")) {
+            body = items("{\"Metadata\":{\"Name\":\"main\",\"Revision\":1},\"Spec\":" + CONFIGURATION + "}");
+        } else if (path.startsWith("/objects/servers")) {
+            body = items("{\"Metadata\":{\"Name\":\"i-1\",\"Revision\":2},\"Spec\":{\"Address\":\""
+                    + address(listener.getLocalPort())
+                    + "\",\"Info\":{\"Service\":\"s\",\"Version\":\"v1\",\"Zone\":\"here-a\",\"Slots\":5},"
+                    + "\"Status\":{\"State\":\"ready\",\"Seq\":4,\"ColdRemaining\":\"0ms\"}}}");
+        } else if (path.startsWith("/objects/")) {
+            body = items("");
+        }
+        out.write(("HTTP/1.1 200 OK\r\nX-Knapweedhatch-Attempt-Id: 1\r\nX-Knapweedhatch-Server-Load: 1,0,5\r\n"
+                        + "Content-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.US_ASCII));
+        out.flush();
+    }
+
+    private static String items(String item) {
+        return "{\"items\":[" + item + "],\"More\":false,\"AsOf\":3}";
+    }
+}
--- a/daemon/src/main/java/org/knapweedhatch/log/EventLog.java
+++ b/daemon/src/main/java/org/knapweedhatch/log/EventLog.java
@@ -34,7 +34,7 @@
     /** Longest time that the writer waits for more lines before it flushes what it has. */
     private static final long FLUSH_MS = 100;
 
-    private static final int BATCH_BYTES = 32 * 1_024;
+    private static final int BATCH_BYTES = 4 * 1_024;
     private static final int LINE_BYTES = 256;
     private static final JsonFactory JSON = new JsonFactory();
 
