Divide team rates, retries and cold targets among hosts that report to each other

Cause: nothing held the hosts together to a team's rate, a service's retries or a cold target's rate; hosts that the store turned away learnt nothing; a leaving host accepted to its end.

--- a/core/src/main/java/org/knapweedhatch/place/Ask.java
+++ b/core/src/main/java/org/knapweedhatch/place/Ask.java
@@ -1,5 +1,6 @@
 package org.knapweedhatch.place;
 
+import java.time.Duration;
 import java.util.Set;
 import org.knapweedhatch.helper.Validate;
 
@@ -8,17 +9,37 @@
  *
  * @param service service that is to run it
  * @param object name of the object that it concerns; empty where it states none or the route is not sticky
+ * @param id unique id of the request, which spreads those without an object
+ * @param bytes length of its body, which has to reach the target
  * @param regions regions that may run it; empty for all
  * @param tried names of targets to which it was sent before
+ * @param inAim time that is left within which an answer is of full use
+ * @param left time that is left until nobody waits for an answer
  */
-public record Ask(String service, String object, Set<String> regions, Set<String> tried) {
+public record Ask(
+        String service,
+        String object,
+        String id,
+        long bytes,
+        Set<String> regions,
+        Set<String> tried,
+        Duration inAim,
+        Duration left) {
 
     /** Checks the parts and copies the sets. */
     public Ask {
         Validate.notEmpty(service, "service");
         Validate.notNull(object, "object");
+        Validate.notNull(id, "id");
         regions = Set.copyOf(regions);
         tried = Set.copyOf(tried);
+        Validate.notNull(inAim, "inAim");
+        Validate.notNull(left, "left");
+    }
+
+    /** Returns the name by which targets are drawn: requests for one object share it. */
+    String drawnBy() {
+        return object.isEmpty() ? id : object;
     }
 
     /** Returns whether a region may run it. */
--- a/core/src/main/java/org/knapweedhatch/place/Placer.java
+++ b/core/src/main/java/org/knapweedhatch/place/Placer.java
@@ -1,93 +1,86 @@
 package org.knapweedhatch.place;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import org.apache.commons.codec.digest.MurmurHash3;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.knapweedhatch.helper.Validate;
 import org.knapweedhatch.target.KnownTarget;
+import org.knapweedhatch.world.Service;
 
-/** Chooses targets. */
+/**
+ * Chooses the target of each request, or refuses it.
+ *
+ * <pre>{@code
+ * Placement placement = placer.place(ask);
+ * if (placement instanceof Placement.Sent sent) {
+ *     placer.ended(sent.target(), ask.object(), Ending.ANSWERED, tookNanos);
+ * }
+ * }</pre>
+ *
+ * <p>Each service is a shard under its own lock. Safe for use by many threads.
+ */
 public final class Placer {
 
-    private final String domain;
-    private final String region;
-    private final Map<String, Gauge> gauges = new HashMap<>();
-    private volatile List<KnownTarget> all = List.of();
-    private Map<String, List<Gauge>> byService = Map.of();
+    private final PlacerContext context;
+    private final Map<String, ServicePool> pools = new ConcurrentHashMap<>();
+    private volatile List<KnownTarget> targets = List.of();
 
-    private static final class Gauge {
-        private KnownTarget target;
-        private int outstanding;
-        private int seed;
+    private Placer(PlacerContext context) {
+        this.context = context;
     }
 
-    private Placer(String domain, String region) {
-        this.domain = domain;
-        this.region = region;
+    /** Creates a placer without targets. */
+    public static Placer of(PlacerContext context) {
+        return new Placer(Validate.notNull(context, "context"));
     }
 
-    /** Creates a placer. */
-    public static Placer of(String domain, String region) {
-        return new Placer(domain, region);
+    /** Sets the targets, and the services that say how many requests a cold target bears. */
+    public void targets(List<KnownTarget> next, Map<String, Service> services) {
+        Map<String, List<KnownTarget>> byService =
+                next.stream().collect(Collectors.groupingBy(target -> target.target().service()));
+        byService.keySet().forEach(service -> pools.computeIfAbsent(service, s -> new ServicePool(context)));
+        pools.forEach((service, pool) -> {
+            Service known = services.get(service);
+            double coldRate = known == null ? Service.UNLIMITED_RATE : known.coldRate();
+            pool.targets(byService.getOrDefault(service, List.of()), coldRate);
+        });
+        targets = next;
     }
 
-    /** Sets targets. */
-    public synchronized void targets(List<KnownTarget> targets) {
-        Map<String, List<Gauge>> next = new HashMap<>();
-        for (KnownTarget target : targets) {
-            Gauge gauge = gauges.computeIfAbsent(target.name() + "/" + target.life(), name -> new Gauge());
-            gauge.target = target;
-            gauge.seed = MurmurHash3.hash32x86(target.name().getBytes(java.nio.charset.StandardCharsets.UTF_8));
-            if (!target.closed()) {
-                next.computeIfAbsent(target.target().service(), s -> new java.util.ArrayList<>())
-                        .add(gauge);
-            }
-        }
-        byService = next;
-        all = targets;
+    /** Returns the targets as they were set last. */
+    public List<KnownTarget> targets() {
+        return targets;
     }
 
-    /** Returns all. */
-    public List<KnownTarget> targets() {
-        return all;
+    /** Chooses a target for a request. */
+    public Placement place(Ask ask) {
+        return pools.computeIfAbsent(ask.service(), s -> new ServicePool(context)).place(ask);
+    }
+
+    /** Takes in how a placed request ended; returns whether the target is back after it was unreachable. */
+    public boolean ended(KnownTarget target, String object, Ending ending, long tookNanos) {
+        ServicePool pool = pools.get(target.target().service());
+        return pool != null && pool.ended(target, object, ending, tookNanos);
+    }
+
+    /** Does what is due by time; to be called several times a second. */
+    public void tick() {
+        pools.values().forEach(ServicePool::tick);
     }
 
-    /** Places. */
-    public synchronized Placement place(Ask ask) {
-        Gauge best = null;
-        double bestCost = Double.MAX_VALUE;
-        byte[] object = ask.object().getBytes(java.nio.charset.StandardCharsets.UTF_8);
-        for (Gauge gauge : byService.getOrDefault(ask.service(), List.of())) {
-            KnownTarget target = gauge.target;
-            if (!ask.allows(target.region()) || ask.tried().contains(target.name())) {
-                continue;
-            }
-            double far = target.target().domain().equals(domain)
-                    ? 0
-                    : target.region().equals(region) ? 0.5 : 1;
-            double hash = (MurmurHash3.hash32x86(object, 0, object.length, gauge.seed) >>> 1) / (double) (1L << 31);
-            double cost = 4 * hash
-                    + far
-                    + (double) gauge.outstanding / target.target().slots();
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = gauge;
-            }
-        }
-        if (best == null) {
-            return new Placement.Refused(Duration.ofMillis(500));
-        }
-        best.outstanding++;
-        return new Placement.Sent(best.target);
+    /** Returns the requests in progress from here, by the hash of the target's name. */
+    public Map<Integer, Integer> uses() {
+        Map<Integer, Integer> uses = new HashMap<>();
+        pools.values().forEach(pool -> pool.addUses(uses));
+        return uses;
     }
 
-    /** Ends. */
-    public synchronized void ended(KnownTarget target, Ending ending, long nanos, Optional<String> load) {
-        Gauge gauge = gauges.get(target.name() + "/" + target.life());
-        if (gauge != null) {
-            gauge.outstanding--;
-        }
+    /** Returns the part of each service's objects that other regions serve. */
+    public Map<String, Double> awayShares() {
+        return pools.entrySet().stream()
+                .collect(Collectors.toUnmodifiableMap(
+                        Map.Entry::getKey, entry -> entry.getValue().awayShare()));
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/place/PlacerContext.java
@@ -0,0 +1,31 @@
+package org.knapweedhatch.place;
+
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.quota.FleetSize;
+import org.knapweedhatch.report.ReportBook;
+import org.knapweedhatch.world.Terms;
+
+/** What the choice of targets needs of its host. */
+public interface PlacerContext {
+
+    /** Returns the clock. */
+    TimeSource time();
+
+    /** Returns the host's region. */
+    String region();
+
+    /** Returns the host's failure domain. */
+    String domain();
+
+    /** Returns what the operator grants the system. */
+    Terms terms();
+
+    /** Returns the latest reports of other hosts. */
+    ReportBook reports();
+
+    /** Returns how many hosts there are. */
+    FleetSize fleet();
+
+    /** Returns the position of this host in a target's order of all hosts, from 0; the same on every host's reckoning. */
+    int rankFor(String target);
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/place/WorkTimes.java
@@ -0,0 +1,47 @@
+package org.knapweedhatch.place;
+
+import java.time.Duration;
+
+/**
+ * How long targets of one service work on a request, as moving averages: for an object that the target handled before,
+ * and for one that is new to it.
+ *
+ * <p>Not safe for use by several threads; its pool's lock guards it.
+ */
+final class WorkTimes {
+
+    private static final double SMOOTHING = 0.05;
+
+    /** Assumed before the first answer; a usual time of an interactive service. */
+    private static final double FIRST_NANOS = Duration.ofMillis(200).toNanos();
+
+    /** Part of the work that is assumed to be left for a known object before both were measured. */
+    private static final double WARM_PART = 0.5;
+
+    private double warmNanos;
+    private double coldNanos;
+
+    void add(boolean warm, long nanos) {
+        if (warm) {
+            warmNanos = smoothed(warmNanos, nanos);
+        } else {
+            coldNanos = smoothed(coldNanos, nanos);
+        }
+    }
+
+    private static double smoothed(double mean, long nanos) {
+        return mean == 0 ? nanos : mean + SMOOTHING * (nanos - mean);
+    }
+
+    double nanos(boolean warm) {
+        if (warm) {
+            return warmNanos > 0 ? warmNanos : nanos(false) * WARM_PART;
+        }
+        return coldNanos > 0 ? coldNanos : FIRST_NANOS;
+    }
+
+    /** Returns the mean over the requests that go to targets as usual, most of which concern known objects. */
+    double usualNanos() {
+        return warmNanos > 0 ? warmNanos : nanos(false);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/platform/Held.java
@@ -0,0 +1,68 @@
+package org.knapweedhatch.platform;
+
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * The objects of one kind as far as a host has heard of them, from the store or from another host.
+ *
+ * <p>What is held never goes back to an older state. Safe for use by many threads.
+ */
+public final class Held {
+
+    private final TreeMap<String, StoredObject> objects = new TreeMap<>();
+    private long asOf;
+    private long version;
+
+    private Held() {}
+
+    /** Creates a holder of nothing. */
+    public static Held empty() {
+        return new Held();
+    }
+
+    /** Takes in a whole listing; returns false, and changes nothing, where it is older than what is held. */
+    public synchronized boolean replace(Listing listing) {
+        if (listing.asOf() < asOf) {
+            return false;
+        }
+        boolean deleted = objects.size() > listing.objects().size();
+        objects.clear();
+        listing.objects().forEach(object -> objects.put(object.name(), object));
+        asOf = listing.asOf();
+        version = Math.max(version, newest(listing.objects()));
+        if (deleted) {
+            version = Math.max(version, asOf);
+        }
+        return true;
+    }
+
+    /** Takes in changes; returns those that are newer than what is held. */
+    public synchronized Changes apply(Changes changes) {
+        List<StoredObject> newer = changes.changed().stream()
+                .filter(object -> !objects.containsKey(object.name())
+                        || objects.get(object.name()).version() < object.version())
+                .toList();
+        List<String> gone =
+                changes.deleted().stream().filter(objects::containsKey).toList();
+        newer.forEach(object -> objects.put(object.name(), object));
+        gone.forEach(objects::remove);
+        asOf = Math.max(asOf, changes.asOf());
+        version = Math.max(version, gone.isEmpty() ? newest(newer) : asOf);
+        return new Changes(newer, gone, changes.asOf());
+    }
+
+    private static long newest(List<StoredObject> all) {
+        return all.stream().mapToLong(StoredObject::version).max().orElse(0);
+    }
+
+    /** Returns everything that is held. */
+    public synchronized Listing listing() {
+        return new Listing(List.copyOf(objects.values()), asOf);
+    }
+
+    /** Returns the version of the last change that is held; hosts that hold the same have the same. */
+    public synchronized long version() {
+        return version;
+    }
+}
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -2,7 +2,9 @@
 
 import java.net.URI;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.knapweedhatch.admin.Admin;
 import org.knapweedhatch.admin.Metrics;
@@ -14,22 +16,32 @@
 import org.knapweedhatch.key.KeyRing;
 import org.knapweedhatch.log.EventLog;
 import org.knapweedhatch.log.LineKind;
+import org.knapweedhatch.member.MemberState;
 import org.knapweedhatch.member.View;
 import org.knapweedhatch.message.HeaderScheme;
+import org.knapweedhatch.message.Outgoing;
 import org.knapweedhatch.message.PeerMessage;
 import org.knapweedhatch.place.Placer;
+import org.knapweedhatch.place.PlacerContext;
 import org.knapweedhatch.platform.ObjectApi;
 import org.knapweedhatch.platform.store.HttpPlatform;
-import org.knapweedhatch.platform.wire.EvacuationEntry;
-import org.knapweedhatch.platform.wire.OperatorConfiguration;
 import org.knapweedhatch.platform.wire.PlatformHeaders;
-import org.knapweedhatch.platform.wire.TargetEntry;
+import org.knapweedhatch.quota.FleetSize;
+import org.knapweedhatch.quota.RetryAllowance;
+import org.knapweedhatch.quota.SeenHosts;
+import org.knapweedhatch.quota.TeamShares;
+import org.knapweedhatch.report.HostReport;
+import org.knapweedhatch.report.ReportBook;
 import org.knapweedhatch.settings.FrontSettings;
 import org.knapweedhatch.steer.Directory;
+import org.knapweedhatch.steer.Rendezvous;
 import org.knapweedhatch.store.Beliefs;
+import org.knapweedhatch.store.Kind;
 import org.knapweedhatch.store.KindFeed;
+import org.knapweedhatch.store.PeerNews;
 import org.knapweedhatch.world.Configuration;
 import org.knapweedhatch.world.Host;
+import org.knapweedhatch.world.Terms;
 
 /**
  * One host on the users' platform: every part of it, wired together.
@@ -39,17 +51,29 @@
  * host.leave();
  * }</pre>
  */
-public final class FrontHost implements FrontContext {
+public final class FrontHost implements FrontContext, PlacerContext {
 
     /** Part of the time to stop that is kept for the end of the process itself. */
-    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+    private static final Duration STOP_MARGIN = Duration.ofMillis(400);
+
+    /** Idle connections are closed so long after the directory stopped naming this host. */
+    private static final Duration GIVE_BACK = Duration.ofMillis(1_000);
 
     private static final Duration POLL = Duration.ofMillis(50);
 
+    /** Ticks of the peers between two reports to them: a quarter of a second. */
+    private static final int REPORT_TICKS = 2;
+
+
     private final FrontSettings settings;
     private final TimeSource time;
     private final EventLog log;
     private final Beliefs beliefs;
+    private final SeenHosts hosts;
+    private final ReportBook reports;
+    private final TeamShares shares;
+    private final RetryAllowance retries;
+    private final PeerNews news;
     private final Placer placer;
     private final Metrics metrics = Metrics.create();
     private final HttpCaller caller = HttpCaller.create();
@@ -59,6 +83,11 @@
     private final List<KindFeed> feeds;
     private volatile Directory directory;
     private volatile boolean leaving;
+    private volatile boolean started;
+    private volatile View view;
+    private volatile boolean listening;
+    private long ticks;
+    private long reportsSent;
 
     private FrontHost(FrontSettings settings, EventLog log, TimeSource time) {
         this.settings = settings;
@@ -66,22 +95,28 @@
         this.log = log;
         Host self = settings.host();
         beliefs = Beliefs.of(settings.domains(), time, log);
-        placer = Placer.of(self.domain(), self.region());
-        beliefs.onTargets(placer::targets);
+        hosts = SeenHosts.of(time);
+        reports = ReportBook.of(time);
+        shares = TeamShares.of(settings.terms(), time, reports, this::fleet);
+        retries = RetryAllowance.of(settings.terms(), this::fleet);
+        placer = Placer.of(this);
+        beliefs.onChange(this::believed);
         peers = Peers.builder(self, settings.secret(), time)
                 .seeds(settings.seeds())
                 .receiver(this::receive)
                 .viewed(this::viewed)
-                .eachTick(beliefs::tick)
+                .store(name -> PeerNews.serve(beliefs, name))
+                .eachTick(this::tick)
                 .configuration(() -> ready() ? beliefs.configuration().number() : 0)
                 .start();
+        news = new PeerNews(beliefs, reports, peers::fetch, time, log);
+        started = true;
         directory = Directory.of(peers.view());
         ObjectApi store = HttpPlatform.create(caller, URI.create("http://" + settings.platform()), "");
-        feeds = List.of(
-                KindFeed.start(store, OperatorConfiguration.PREFIX, beliefs.configurationSink()),
-                KindFeed.start(store, TargetEntry.PREFIX, beliefs.targetSink()),
-                KindFeed.start(store, EvacuationEntry.PREFIX, beliefs.evacuationSink()));
-        server = FrontServer.listen(self.edge(), this);
+        feeds = Arrays.stream(Kind.values())
+                .map(kind -> KindFeed.start(store, kind.prefix(), beliefs.sink(kind)))
+                .toList();
+        server = FrontServer.of(this);
         Admin admin = Admin.builder()
                 .page("/-/live", query -> Admin.Reply.text(200, "live\n"))
                 .page("/-/metrics", query -> Admin.Reply.text(200, metrics.scrape()))
@@ -101,17 +136,116 @@
         return host;
     }
 
-    private void viewed(View view) {
-        directory = Directory.of(view);
+    private void viewed(View next) {
+        view = next;
+        directory = Directory.of(next);
+    }
+
+    private void believed() {
+        shares.configure(beliefs.configuration().teams().values());
+        placer.targets(beliefs.targets(), beliefs.configuration().services());
+    }
+
+    private void tick() {
+        if (!started) {
+            return;
+        }
+        beliefs.tick();
+        listenOnceReady();
+        Optional.ofNullable(view).ifPresent(hosts::seen);
+        reports.tick();
+        shares.tick();
+        placer.tick();
+        news.tick();
+        if (++ticks % REPORT_TICKS == 0) {
+            report();
+        }
+    }
+
+    /** Callers are let in once their requests can be answered; until then they turn to other hosts. */
+    private void listenOnceReady() {
+        if (listening || leaving || !beliefs.complete()) {
+            return;
+        }
+        listening = true;
+        try {
+            server.listen(settings.host().edge());
+            log.line(LineKind.PROCESS)
+                    .put("outcome", "serving")
+                    .put("configuration", beliefs.configuration().number())
+                    .write();
+        } catch (IllegalStateException e) {
+            log.line(LineKind.PROCESS)
+                    .put("outcome", "cannot listen")
+                    .put("why", e.getMessage())
+                    .write();
+            log.close();
+            Runtime.getRuntime().halt(Main.CANNOT_BIND);
+        }
+    }
+
+    private void report() {
+        HostReport report =
+                new HostReport(++reportsSent, placer.uses(), shares.demand(), Map.of(), beliefs.versions());
+        View now = view;
+        if (now != null) {
+            now.members().values().stream()
+                    .filter(member -> !member.name().equals(settings.host().name()))
+                    .filter(member -> member.state() == MemberState.ALIVE || member.state() == MemberState.LEAVING)
+                    .forEach(member -> peers.send(new Outgoing(member.name(), report)));
+        }
     }
 
     private void receive(String from, long incarnation, PeerMessage message) {
-        // Hosts exchange nothing but membership yet.
+        View now = view;
+        if (message instanceof HostReport report && now != null) {
+            String region = now.member(from).map(member -> member.host().region()).orElse("");
+            reports.heard(from, region, incarnation, report);
+        }
+    }
+
+    @Override
+    public FleetSize fleet() {
+        View now = view;
+        if (now == null || now.members().size() < 2) {
+            return FleetSize.unknown();
+        }
+        return FleetSize.of(hosts.count(), reports.heardHosts());
+    }
+
+    @Override
+    public int rankFor(String target) {
+        View now = view;
+        if (now == null) {
+            return 0;
+        }
+        List<String> order = Rendezvous.order(target, now.members().keySet(), name -> name);
+        return order.indexOf(settings.host().name());
+    }
+
+    @Override
+    public String region() {
+        return settings.host().region();
+    }
+
+    @Override
+    public String domain() {
+        return settings.host().domain();
+    }
+
+    @Override
+    public Terms terms() {
+        return settings.terms();
+    }
+
+    @Override
+    public ReportBook reports() {
+        return reports;
     }
 
     /** Returns whether this host takes requests. */
     public boolean ready() {
-        return beliefs.complete() && !leaving;
+        return listening && beliefs.complete() && !leaving;
     }
 
     @Override
@@ -146,16 +280,28 @@
 
     @Override
     public Optional<Duration> spend(String team) {
-        return Optional.empty();
+        return shares.spend(team);
+    }
+
+    @Override
+    public void giveBack(String team) {
+        shares.giveBack(team);
+    }
+
+    @Override
+    public void targetIsBack(String target) {
+        beliefs.chill(target);
     }
 
     @Override
     public boolean mayRetry(String service) {
-        return true;
+        return retries.spend(service);
     }
 
     @Override
-    public void sentFirst(String service) {}
+    public void sentFirst(String service) {
+        retries.earn(service);
+    }
 
     @Override
     public boolean leaving() {
@@ -163,7 +309,7 @@
     }
 
     /**
-     * Stops as planned: out of the directory, serves on while callers may know this host, ends what runs. Blocks until
+     * Stops as planned: out of the directory at once, then no new connections, then the end of what runs. Blocks until
      * all that is done or its time is over.
      */
     public void leave() {
@@ -172,14 +318,23 @@
         log.line(LineKind.PROCESS).put("outcome", "leaving").write();
         peers.leave();
         Duration longest = settings.terms().stopGrace().minus(STOP_MARGIN);
-        while (time.since(begun).compareTo(longest) < 0) {
+        Duration accepting = settings.terms().stopGrace().dividedBy(2);
+        boolean accepts = true;
+        while (time.since(begun).compareTo(longest) < 0 && (accepts || server.openConnections() > 0)) {
             pause();
+            if (accepts && time.since(begun).compareTo(accepting) >= 0) {
+                accepts = false;
+                server.stopAccepting();
+            }
+            if (time.since(begun).compareTo(GIVE_BACK) >= 0) {
+                server.closeIdle();
+            }
         }
-        server.stopAccepting();
-        server.closeIdle();
+        int cut = server.openConnections();
         stop();
         log.line(LineKind.PROCESS)
                 .put("outcome", "stopped")
+                .put("cutConnections", cut)
                 .putNanos("tookMs", time.nanos() - begun)
                 .write();
     }
--- a/daemon/src/main/java/org/knapweedhatch/daemon/Main.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/Main.java
@@ -41,7 +41,8 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int FAULTY_SETTINGS = 1;
     private static final int WRONG_ARGUMENTS = 2;
-    private static final int CANNOT_BIND = 3;
+    /** Exit code where an address cannot be bound. */
+    static final int CANNOT_BIND = 3;
 
     @Option(name = "--settings", usage = "settings file (INI); " + SETTINGS_VARIABLE + " names it otherwise")
     private Path settingsFile;
--- a/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
@@ -2,12 +2,16 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.fault.Result;
 import org.knapweedhatch.helper.Validate;
 import org.knapweedhatch.member.MemberMessage;
 import org.knapweedhatch.member.Membership;
@@ -63,6 +67,7 @@
                 .incarnation(membership::incarnation)
                 .receiver(this::receive)
                 .outdated(membership::outbid)
+                .store(b.store)
                 .start();
         ticker = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "peers");
@@ -118,6 +123,11 @@
         transport.send(message);
     }
 
+    /** Asks a host for some bytes by name. */
+    public CompletableFuture<Result<byte[]>> fetch(String host, String name) {
+        return transport.fetch(host, name);
+    }
+
     /** Takes in the hosts that the platform lists, as a hint where to find others. */
     public void listed(List<ListedHost> hosts) {
         membership.hints(hosts);
@@ -155,6 +165,7 @@
         private Consumer<View> viewed = view -> {};
         private Runnable eachTick = () -> {};
         private LongSupplier configuration = () -> 0;
+        private Function<String, Optional<byte[]>> store = name -> Optional.empty();
 
         private Builder(Host self, String secret, TimeSource time) {
             this.self = Validate.notNull(self, "self");
@@ -192,6 +203,12 @@
             return this;
         }
 
+        /** Sets where the bytes that other hosts fetch come from; it must not block. */
+        public Builder store(Function<String, Optional<byte[]>> byName) {
+            store = Validate.notNull(byName, "store");
+            return this;
+        }
+
         /** Starts; throws where the host's peer address cannot be bound. */
         public Peers start() {
             Peers peers = new Peers(this);
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpContent;
@@ -22,6 +23,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.knapweedhatch.answer.Reason;
 import org.knapweedhatch.answer.Refusal;
 import org.knapweedhatch.world.CallerLimits;
@@ -35,6 +37,9 @@
     /** Requests that may be in progress on one connection; reading pauses beyond them. */
     private static final int MAX_PIPELINED = 32;
 
+    /** Time in which the loop reads what came after a request, in milliseconds. */
+    private static final long LOOK_MS = 3;
+
     private final FrontServer server;
     private final CallerLimits limits;
     private final Deque<CallerRequest> pending = new ArrayDeque<>();
@@ -136,7 +141,17 @@
         if (content instanceof LastHttpContent) {
             receiving = null;
             readsNoMore = closesAfter;
-            request.received(context.channel().eventLoop());
+            begin(request);
+        }
+    }
+
+    /** Goes on with a request; where the loop lags, only after a look whether its caller has left meanwhile. */
+    private void begin(CallerRequest request) {
+        EventLoop loop = context.channel().eventLoop();
+        if (server.lags()) {
+            loop.schedule(() -> request.received(loop), LOOK_MS, TimeUnit.MILLISECONDS);
+        } else {
+            request.received(loop);
         }
     }
 
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -84,6 +84,9 @@
 
     /** Goes on once the whole request is here. */
     void received(EventLoop loop) {
+        if (done) {
+            return;
+        }
         Admission.Outcome outcome = server.admission().decide(head);
         if (outcome instanceof Admission.Refused refused) {
             refuse(refused.refusal(), refused.team());
@@ -112,20 +115,46 @@
             refuse(Refusal.of(Reason.BUSY).retryAfter(DEFAULT_RETRY_AFTER), admitted.team());
             return;
         }
-        String object = admitted.route().handling().sticky()
-                ? Optional.ofNullable(head.headers().get(context.headers().affinity()))
-                        .orElse("")
-                : "";
-        Ask ask = new Ask(admitted.service(), object, admitted.regions(), tried);
-        Placement placement = context.placer().place(ask);
+        Placement placement = context.placer().place(ask(left));
         if (placement instanceof Placement.Refused refused) {
-            refuse(Refusal.of(Reason.BUSY).retryAfter(refused.retryAfter()), admitted.team());
+            refuseUnplaced(refused);
             return;
         }
-        attempt = new Attempt(((Placement.Sent) placement).target());
+        Placement.Sent place = (Placement.Sent) placement;
+        line(LineKind.SENT)
+                .put("target", place.target().name())
+                .put("busy", place.busy())
+                .putNanos("waitMs", place.waitNanos())
+                .put("candidates", place.candidates())
+                .put("tries", tried.size())
+                .write();
+        attempt = new Attempt(place.target());
         attempt.begin();
     }
 
+    private Ask ask(Duration left) {
+        Duration inAim = admitted.route()
+                .handling()
+                .latencyTarget()
+                .minusNanos(context.time().nanos() - arrivedNanos);
+        return new Ask(
+                admitted.service(), object(), id, body.readableBytes(), admitted.regions(), tried, inAim, left);
+    }
+
+    private String object() {
+        boolean sticky = admitted.route().handling().sticky();
+        String stated = sticky ? head.headers().get(context.headers().affinity()) : null;
+        return stated == null ? "" : stated;
+    }
+
+    private void refuseUnplaced(Placement.Refused refused) {
+        Reason reason = refused.why() == Placement.Cause.BUSY ? Reason.BUSY : Reason.NO_TARGET;
+        if (sent == 0) {
+            context.giveBack(admitted.team());
+        }
+        refuse(Refusal.of(reason).retryAfter(refused.retryAfter()), admitted.team());
+    }
+
     private RequestKind kind() {
         return admitted.route().handling().kind();
     }
@@ -169,7 +198,7 @@
         @Override
         public void unreachable(String why) {
             if (!over) {
-                end(Ending.UNREACHABLE, Optional.empty());
+                end(Ending.UNREACHABLE);
                 log(why, Ending.UNREACHABLE);
                 again(false);
             }
@@ -186,7 +215,7 @@
             int status = received.status().code();
             boolean notRun = received.headers().contains(context.headers().notRun()) || status == 421;
             Ending ending = ending(status, notRun);
-            end(ending, load);
+            end(ending);
             if (notRun) {
                 received.body().release();
                 log("status " + status, ending);
@@ -211,15 +240,17 @@
         @Override
         public void broken(String why, boolean written) {
             if (!over) {
-                end(Ending.BROKEN, Optional.empty());
+                end(Ending.BROKEN);
                 log(why, Ending.BROKEN);
                 again(written);
             }
         }
 
-        private void end(Ending ending, Optional<String> load) {
+        private void end(Ending ending) {
             over = true;
-            context.placer().ended(target, ending, context.time().nanos() - begunNanos, load);
+            if (context.placer().ended(target, object(), ending, context.time().nanos() - begunNanos)) {
+                context.targetIsBack(target.name());
+            }
         }
 
         private void log(String why, Ending ending) {
@@ -233,7 +264,7 @@
 
         void cancel(Ending ending) {
             if (!over) {
-                end(ending, Optional.empty());
+                end(ending);
                 if (connection != null) {
                     connection.cancel();
                 }
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
@@ -33,6 +33,12 @@
     /** Takes one request out of a team's rate; returns how long to wait where it is spent. */
     Optional<Duration> spend(String team);
 
+    /** Gives a request of a team back that was not sent to a target. */
+    void giveBack(String team);
+
+    /** Notes that a target answers again after it could not be reached. */
+    void targetIsBack(String target);
+
     /** Takes one retry out of a service's budget; returns false where it is spent. */
     boolean mayRetry(String service);
 
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -27,7 +27,8 @@
  * Listens for callers and carries their requests to targets.
  *
  * <pre>{@code
- * FrontServer server = FrontServer.listen(address, context);
+ * FrontServer server = FrontServer.of(context);
+ * server.listen(address);
  * server.stop();
  * }</pre>
  */
@@ -52,35 +53,42 @@
     private final ForwardHeaders forwardHeaders;
     private final TargetConnections connections;
     private final Set<CallerConnection> callers = new HashSet<>();
-    private Channel listener;
+    private final LoopLag lag;
+    private volatile Channel listener;
 
     private FrontServer(FrontContext context) {
         this.context = context;
         admission = new Admission(context);
+        lag = new LoopLag(context.time());
         forwardHeaders = ForwardHeaders.of(context.headers());
         connections = new TargetConnections(loop, context.headers(), context.time());
     }
 
-    /** Listens at an address; throws {@link IllegalStateException} where that cannot be bound. */
-    public static FrontServer listen(Address address, FrontContext context) {
+    /** Creates a server that does not listen yet. */
+    public static FrontServer of(FrontContext context) {
         FrontServer server = new FrontServer(context);
+        server.loop.scheduleWithFixedDelay(server::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        server.loop.scheduleAtFixedRate(
+                server.lag::tick, LoopLag.TICK.toMillis(), LoopLag.TICK.toMillis(), TimeUnit.MILLISECONDS);
+        return server;
+    }
+
+    /** Listens at an address; throws {@link IllegalStateException} where that cannot be bound. */
+    public void listen(Address address) {
         ChannelFuture bound = new ServerBootstrap()
-                .group(server.loops)
+                .group(loops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(server.new Pipeline())
+                .childHandler(new Pipeline())
                 .bind(address.socket())
                 .awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            server.loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             throw new IllegalStateException(
                     "front: cannot listen at " + address + ": " + bound.cause().getMessage());
         }
-        server.listener = bound.channel();
-        server.loop.scheduleWithFixedDelay(server::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return server;
+        listener = bound.channel();
     }
 
     private void sweep() {
@@ -128,12 +136,19 @@
 
     /** Accepts no more connections. */
     public void stopAccepting() {
-        listener.close();
+        if (listener != null) {
+            listener.close();
+        }
+    }
+
+    /** Returns whether the event loop lately lagged behind, so that what it reads may be old. */
+    boolean lags() {
+        return lag.isHigh();
     }
 
     /** Stops at once; what is in progress is cut. */
     public void stop() {
-        listener.close().awaitUninterruptibly();
+        stopAccepting();
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
--- a/daemon/src/main/java/org/knapweedhatch/peer/Limits.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/Limits.java
@@ -37,6 +37,9 @@
     /** A connection that another one replaces is read for so long. */
     static final Duration RETIRE = Duration.ofSeconds(1);
 
+    /** A closed link's connection stays open so long: a reset at once could overtake what was sent last. */
+    static final Duration LAST_WORDS = Duration.ofMillis(150);
+
     /** A connection that carries no message for so long is closed. */
     static final Duration USE_IDLE = Duration.ofSeconds(60);
 
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerChannel.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerChannel.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.knapweedhatch.peer.proto.Envelope;
@@ -271,7 +272,12 @@
 
     /** Closes the connection when what the peer has sent on it has arrived. */
     void retire() {
-        context.executor().schedule(this::close, Limits.RETIRE.toMillis(), TimeUnit.MILLISECONDS);
+        retireAfter(Limits.RETIRE);
+    }
+
+    /** Closes the connection after a time. */
+    void retireAfter(Duration time) {
+        context.executor().schedule(this::close, time.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Closes the connection. */
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerLink.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerLink.java
@@ -178,7 +178,7 @@
         }
         if (old != null) {
             flush(old);
-            old.close();
+            old.retireAfter(Limits.LAST_WORDS);
         }
     }
 }
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -244,10 +245,22 @@
     public void stop() {
         stopped = true;
         links.values().forEach(PeerLink::close);
+        awaitLastWords();
         channels.close().awaitUninterruptibly();
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
+    /** Waits until the links have closed their connections by themselves, or should have. */
+    private void awaitLastWords() {
+        CountDownLatch closed = new CountDownLatch(1);
+        loops.schedule(closed::countDown, 2 * Limits.LAST_WORDS.toMillis(), TimeUnit.MILLISECONDS);
+        try {
+            closed.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     String self() {
         return host.name();
     }
--- a/daemon/src/main/java/org/knapweedhatch/store/Beliefs.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/Beliefs.java
@@ -1,11 +1,13 @@
 package org.knapweedhatch.store;
 
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.fault.Fault;
 import org.knapweedhatch.fault.Result;
@@ -13,6 +15,7 @@
 import org.knapweedhatch.log.EventLog;
 import org.knapweedhatch.log.LineKind;
 import org.knapweedhatch.platform.Changes;
+import org.knapweedhatch.platform.Held;
 import org.knapweedhatch.platform.Listing;
 import org.knapweedhatch.platform.StoredObject;
 import org.knapweedhatch.platform.wire.EvacuationEntry;
@@ -25,7 +28,7 @@
 import org.knapweedhatch.world.Configuration;
 
 /**
- * What this host believes of the operator's wishes and of the targets, as the store told it.
+ * What this host believes of the operator's wishes and of the targets, as the store or another host told it.
  *
  * <p>Safe for use by many threads; listeners are called one at a time.
  */
@@ -35,8 +38,10 @@
     private final TimeSource time;
     private final EventLog log;
     private final TargetBook targets;
-    private final List<Consumer<List<KnownTarget>>> targetListeners = new CopyOnWriteArrayList<>();
-    private final Set<String> evacuated = new TreeSet<>();
+    private final Map<Kind, Held> held = new EnumMap<>(Kind.class);
+    private final Map<Kind, Boolean> lost = new EnumMap<>(Kind.class);
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+    private Set<String> evacuated = Set.of();
     private volatile Configuration configuration = Configuration.empty();
     private volatile KeyRing keys = KeyRing.empty();
     private volatile boolean targetsKnown;
@@ -46,6 +51,10 @@
         this.time = time;
         this.log = log;
         targets = TargetBook.of(time, this::logChange);
+        for (Kind kind : Kind.values()) {
+            held.put(kind, Held.empty());
+            lost.put(kind, false);
+        }
     }
 
     /** Creates the beliefs of a host that has heard nothing yet. */
@@ -53,9 +62,9 @@
         return new Beliefs(domains, time, log);
     }
 
-    /** Adds a listener of the targets. */
-    public void onTargets(Consumer<List<KnownTarget>> listener) {
-        targetListeners.add(listener);
+    /** Adds what is run after each change. */
+    public void onChange(Runnable listener) {
+        listeners.add(listener);
     }
 
     /** Returns the configuration in force; number 0 before the first one. */
@@ -68,9 +77,9 @@
         return keys;
     }
 
-    /** Returns the book of targets. */
-    public TargetBook targets() {
-        return targets;
+    /** Returns the targets. */
+    public List<KnownTarget> targets() {
+        return targets.targets();
     }
 
     /** Returns whether both a configuration and the targets have been heard of. */
@@ -78,73 +87,57 @@
         return configuration.number() > 0 && targetsKnown;
     }
 
-    /** Returns what takes in the operator's configuration. */
-    public KindFeed.Sink configurationSink() {
-        return new Sink("configuration") {
-            @Override
-            public void listed(Listing listing) {
-                listing.objects().forEach(Beliefs.this::configure);
-            }
-
-            @Override
-            public void changed(Changes changes) {
-                changes.changed().forEach(Beliefs.this::configure);
-            }
-        };
+    /** Returns the versions of what is held, in the order of the kinds. */
+    public List<Long> versions() {
+        return held.values().stream().map(Held::version).toList();
     }
 
-    /** Returns what takes in the registrations of targets. */
-    public KindFeed.Sink targetSink() {
-        return new Sink("targets") {
-            @Override
-            public void listed(Listing listing) {
-                List<Registration> registrations = listing.objects().stream()
-                        .flatMap(entry -> decode(entry).stream())
-                        .toList();
-                targets.replaceAll(registrations);
-                targetsKnown = true;
-                publish();
-            }
-
-            @Override
-            public void changed(Changes changes) {
-                changes.changed().forEach(entry -> decode(entry).ifPresent(targets::register));
-                changes.deleted().forEach(name -> targets.unregister(TargetEntry.nameOf(name)));
-                publish();
-            }
+    /** Returns whether the last call about a kind failed. */
+    public synchronized boolean isLost(Kind kind) {
+        return lost.get(kind);
+    }
 
-            @Override
-            public void failed(Fault fault) {
-                super.failed(fault);
-                targets.storeReachable(false);
-            }
+    /** Returns everything that is held of a kind. */
+    public Listing held(Kind kind) {
+        return held.get(kind).listing();
+    }
 
-            @Override
-            public void regained() {
-                super.regained();
-                targets.storeReachable(true);
-            }
-        };
+    /** Returns what takes in the objects of a kind from the store. */
+    public KindFeed.Sink sink(Kind kind) {
+        return new StoreSink(kind);
     }
 
-    /** Returns what takes in evacuations. */
-    public KindFeed.Sink evacuationSink() {
-        return new Sink("evacuations") {
-            @Override
-            public void listed(Listing listing) {
-                Set<String> named = new TreeSet<>();
-                listing.objects().forEach(entry -> named.add(EvacuationEntry.domainOf(entry.name())));
-                evacuate(named);
-            }
+    /** Takes in what another host holds of a kind; older news than what is held change nothing. */
+    public synchronized void heard(Kind kind, String from, Listing listing) {
+        if (!held.get(kind).replace(listing)) {
+            return;
+        }
+        log.line(LineKind.DEPENDENCY)
+                .put("dependency", "store")
+                .put("feed", kind.name())
+                .put("outcome", "heard from a host")
+                .put("from", from)
+                .put("asOf", listing.asOf())
+                .write();
+        if (kind == Kind.TARGETS) {
+            // The other host's store answers, so what is not listed is gone and not just unheard of.
+            targets.storeReachable(true);
+        }
+        believe(kind, listing);
+    }
 
-            @Override
-            public void changed(Changes changes) {
-                Set<String> named = new TreeSet<>(evacuated);
-                changes.changed().forEach(entry -> named.add(EvacuationEntry.domainOf(entry.name())));
-                changes.deleted().forEach(name -> named.remove(EvacuationEntry.domainOf(name)));
-                evacuate(named);
+    private void believe(Kind kind, Listing listing) {
+        switch (kind) {
+            case CONFIGURATION -> listing.objects().forEach(this::configure);
+            case TARGETS -> {
+                targets.replaceAll(listing.objects().stream()
+                        .flatMap(entry -> decode(entry).stream())
+                        .toList());
+                targetsKnown = true;
             }
-        };
+            case EVACUATIONS -> evacuate(listing);
+        }
+        publish();
     }
 
     /** Drops what has had the time to come back; to be called several times a second. */
@@ -156,7 +149,13 @@
         }
     }
 
-    private synchronized void configure(StoredObject object) {
+    /** Treats a target as cold: it was away for a time and may have started anew. */
+    public void chill(String target) {
+        targets.chill(target);
+        publish();
+    }
+
+    private void configure(StoredObject object) {
         if (!object.name().equals(OperatorConfiguration.NAME)) {
             return;
         }
@@ -182,39 +181,40 @@
         keys = keys.configure(next);
         configuration = next;
         targets.configure(next);
-        publish();
     }
 
-    private java.util.Optional<Registration> decode(StoredObject entry) {
+    private Optional<Registration> decode(StoredObject entry) {
         Result<Registration> decoded = TargetEntry.decode(entry);
         if (decoded.isOk()) {
-            return java.util.Optional.of(decoded.orThrow());
+            return Optional.of(decoded.orThrow());
         }
         log.line(LineKind.TARGET)
                 .put("entry", entry.name())
                 .put("outcome", "ignored")
                 .put("why", decoded.fault().message())
+                .put("revision", entry.version())
                 .write();
-        return java.util.Optional.empty();
+        return Optional.empty();
     }
 
-    private synchronized void evacuate(Set<String> named) {
-        if (evacuated.equals(named)) {
+    private void evacuate(Listing listing) {
+        Set<String> named = listing.objects().stream()
+                .map(entry -> EvacuationEntry.domainOf(entry.name()))
+                .collect(Collectors.toCollection(TreeSet::new));
+        if (named.equals(evacuated)) {
             return;
         }
         log.line(LineKind.EVACUATION)
                 .put("domains", String.join(" ", named))
                 .put("before", String.join(" ", evacuated))
+                .put("asOf", listing.asOf())
                 .write();
-        evacuated.clear();
-        evacuated.addAll(named);
+        evacuated = named;
         targets.evacuate(named);
-        publish();
     }
 
-    private synchronized void publish() {
-        List<KnownTarget> now = targets.targets();
-        targetListeners.forEach(listener -> listener.accept(now));
+    private void publish() {
+        listeners.forEach(Runnable::run);
     }
 
     private void logChange(TargetChange change) {
@@ -230,36 +230,70 @@
                 .write();
     }
 
-    /** Logs the loss and the return of the store, once each. */
-    private abstract class Sink implements KindFeed.Sink {
-        private final String what;
+    /** Takes in one kind from the store, and logs the store's loss and return, once each. */
+    private final class StoreSink implements KindFeed.Sink {
+        private final Kind kind;
         private long lostNanos;
-        private boolean lost;
 
-        Sink(String what) {
-            this.what = what;
+        StoreSink(Kind kind) {
+            this.kind = kind;
+        }
+
+        @Override
+        public void listed(Listing listing) {
+            synchronized (Beliefs.this) {
+                if (held.get(kind).replace(listing)) {
+                    believe(kind, listing);
+                }
+            }
+        }
+
+        @Override
+        public void changed(Changes changes) {
+            synchronized (Beliefs.this) {
+                Changes newer = held.get(kind).apply(changes);
+                switch (kind) {
+                    case CONFIGURATION -> newer.changed().forEach(Beliefs.this::configure);
+                    case TARGETS -> {
+                        newer.changed().forEach(entry -> decode(entry).ifPresent(targets::register));
+                        newer.deleted().forEach(name -> targets.unregister(TargetEntry.nameOf(name)));
+                    }
+                    case EVACUATIONS -> evacuate(held.get(kind).listing());
+                }
+                publish();
+            }
         }
 
         @Override
         public void failed(Fault fault) {
-            if (!lost) {
-                lost = true;
+            synchronized (Beliefs.this) {
+                if (lost.put(kind, true)) {
+                    return;
+                }
                 lostNanos = time.nanos();
-                log.line(LineKind.DEPENDENCY)
-                        .put("dependency", "store")
-                        .put("feed", what)
-                        .put("outcome", "lost")
-                        .put("why", fault.toString())
-                        .write();
+                if (kind == Kind.TARGETS) {
+                    targets.storeReachable(false);
+                }
             }
+            log.line(LineKind.DEPENDENCY)
+                    .put("dependency", "store")
+                    .put("feed", kind.name())
+                    .put("outcome", "lost")
+                    .put("why", fault.toString())
+                    .write();
         }
 
         @Override
         public void regained() {
-            lost = false;
+            synchronized (Beliefs.this) {
+                lost.put(kind, false);
+                if (kind == Kind.TARGETS) {
+                    targets.storeReachable(true);
+                }
+            }
             log.line(LineKind.DEPENDENCY)
                     .put("dependency", "store")
-                    .put("feed", what)
+                    .put("feed", kind.name())
                     .put("outcome", "back")
                     .putNanos("awayMs", time.nanos() - lostNanos)
                     .write();
