--- a/core/src/main/java/org/knapweedhatch/member/Membership.java
+++ b/core/src/main/java/org/knapweedhatch/member/Membership.java
@@ -56,6 +56,7 @@
     private final Pace digests;
     private final Pace probes;
     private final Pace views;
+    private final Pace exchanges;
     private volatile View view;
 
     private Membership(Builder b) {
@@ -75,6 +76,7 @@
         digests = new Pace(Timing.DIGEST, random, startNanos);
         probes = new Pace(Timing.HEARTBEAT, random, startNanos);
         views = new Pace(Timing.DIGEST, random, startNanos);
+        exchanges = new Pace(Timing.EXCHANGE, random, startNanos);
         seeds.add(b.seeds, startNanos);
         seeds.removeIf(host -> host.name().equals(self.name()));
         view = View.of(self.name(), List.of(self.member()));
@@ -108,6 +110,9 @@
         if (probes.due(now)) {
             out.addAll(prober.probes(now));
         }
+        if (exchanges.due(now)) {
+            askNeighbour(out);
+        }
         if (views.due(now)) {
             refreshView();
         }
@@ -123,6 +128,15 @@
         }
     }
 
+    /** Asks a neighbour whom it knows: two hosts that met it at the same time may not know of each other. */
+    private void askNeighbour(List<Outgoing> out) {
+        List<Host> near = roster.hosts(self.region(), peer -> Row.living(peer.state));
+        if (!near.isEmpty()) {
+            Host one = near.get(random.nextInt(near.size()));
+            out.add(new Outgoing(one.name(), new MemberMessage.TableRequest(self.region())));
+        }
+    }
+
     private void join(long now) {
         boolean met = firstHeardNanos != Timing.NEVER && now - firstHeardNanos >= Timing.JOIN;
         joined |= met || now - startNanos >= Timing.JOIN_ALONE;
--- a/core/src/main/java/org/knapweedhatch/member/Timing.java
+++ b/core/src/main/java/org/knapweedhatch/member/Timing.java
@@ -11,6 +11,9 @@
     /** Between two digests from one region to another. */
     static final long DIGEST = Duration.ofMillis(1000).toNanos();
 
+    /** Between two questions to a neighbour about whom it knows. */
+    static final long EXCHANGE = Duration.ofMillis(2000).toNanos();
+
     /** Each interval is drawn from this fraction below and above its mean. */
     static final double JITTER = 0.1;
 
--- a/core/src/main/java/org/knapweedhatch/place/Placer.java
+++ b/core/src/main/java/org/knapweedhatch/place/Placer.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
+import org.knapweedhatch.helper.Hashes;
 import org.knapweedhatch.helper.Validate;
 import org.knapweedhatch.target.KnownTarget;
 import org.knapweedhatch.world.Service;
@@ -40,7 +41,7 @@
     public void targets(List<KnownTarget> next, Map<String, Service> services) {
         Map<String, List<KnownTarget>> byService =
                 next.stream().collect(Collectors.groupingBy(target -> target.target().service()));
-        byService.keySet().forEach(service -> pools.computeIfAbsent(service, s -> new ServicePool(context)));
+        byService.keySet().forEach(service -> pools.computeIfAbsent(service, name -> new ServicePool(name, context)));
         pools.forEach((service, pool) -> {
             Service known = services.get(service);
             double coldRate = known == null ? Service.UNLIMITED_RATE : known.coldRate();
@@ -56,7 +57,7 @@
 
     /** Chooses a target for a request. */
     public Placement place(Ask ask) {
-        return pools.computeIfAbsent(ask.service(), s -> new ServicePool(context)).place(ask);
+        return pools.computeIfAbsent(ask.service(), name -> new ServicePool(name, context)).place(ask);
     }
 
     /** Takes in how a placed request ended; returns whether the target is back after it was unreachable. */
@@ -77,6 +78,13 @@
         return uses;
     }
 
+    /** Returns the requests per second that arrive here, by the hash of the service's name. */
+    public Map<Integer, Double> demand() {
+        return pools.entrySet().stream()
+                .collect(Collectors.toUnmodifiableMap(
+                        entry -> Hashes.of(entry.getKey()), entry -> entry.getValue().demand()));
+    }
+
     /** Returns the part of each service's objects that other regions serve. */
     public Map<String, Double> awayShares() {
         return pools.entrySet().stream()
--- a/core/src/main/java/org/knapweedhatch/place/PlacerContext.java
+++ b/core/src/main/java/org/knapweedhatch/place/PlacerContext.java
@@ -17,6 +17,12 @@
     /** Returns the host's failure domain. */
     String domain();
 
+    /** Returns the time there and back to a failure domain, in nanoseconds. */
+    double distance(String domain, String region);
+
+    /** Returns the part of all hosts that stand in the own region. */
+    double regionPart();
+
     /** Returns what the operator grants the system. */
     Terms terms();
 
--- a/core/src/main/java/org/knapweedhatch/place/ServicePool.java
+++ b/core/src/main/java/org/knapweedhatch/place/ServicePool.java
@@ -9,46 +9,65 @@
 import java.util.Optional;
 import org.knapweedhatch.helper.Hashes;
 import org.knapweedhatch.place.Placement.Cause;
+import org.knapweedhatch.report.DemandMeter;
 import org.knapweedhatch.target.KnownTarget;
 
 /**
  * The targets of one service, and the choice among them for one request at a time.
  *
  * <p>Each object prefers the targets in an order of its own, the same on every host, so that few targets have to learn
- * it. The first of them that has a free slot is taken; where none has, the one that will be free first, a target that
- * does not know the object counting as busy for longer. Safe for use by many threads.
+ * it. The first of them that answers in time is taken; where none does, the first with a free slot; where none has one,
+ * the one with the shortest forecast. Safe for use by many threads.
  */
 final class ServicePool {
 
     /** Body from which on a target of the own failure domain goes first: the bytes weigh more than the order. */
     private static final long LARGE_BODY = 8 * 1_024;
 
-    /** Factor on the work for an object that is new to a target, which takes the slot from others as well. */
-    private static final double NEW_OBJECT_COST = 1.3;
+    /** Work of a cold target relative to a warm one's on a new object; the deployments seen have 2. */
+    private static final double COLD_FACTOR = 2;
 
-    /** Cost of a target that fails often, in times of the usual work; it is taken where the others are far behind. */
-    private static final double AVOIDED_COST = 20;
+    /** Span over which demand is averaged. */
+    private static final Duration DEMAND_SPAN = Duration.ofSeconds(3);
 
     /** Seed of the draw that decides which objects go to other regions. */
     private static final int AWAY_SEED = 7;
 
     private static final Duration SHORTEST_RETRY = Duration.ofMillis(100);
     private static final Duration NO_TARGET_RETRY = Duration.ofMillis(500);
-    private static final double COST_PER_RANK_NANOS = 1;
 
     private final PlacerContext context;
     private final WorkTimes work = new WorkTimes();
-    private final AwayShare away;
+    private final RegionPlan away;
+    private final DemandMeter demand;
+    private final int key;
     private final Map<String, Gauge> gauges = new HashMap<>();
     private List<Gauge> open = List.of();
     private double coldRate;
 
     /** A target as it stands for one request. */
-    private record Candidate(Gauge gauge, int busy, double waitNanos, double cost) {}
+    private record Candidate(
+            Gauge gauge, int rank, int busy, double waitNanos, double forecastNanos, boolean lastResort) {
 
-    ServicePool(PlacerContext context) {
+        static final int CROWDED = 2;
+
+        /** Returns the class in which the target is tried; lower ones go first. */
+        int preference(double inAimNanos) {
+            if (lastResort) {
+                return CROWDED + 1;
+            }
+            if (forecastNanos <= inAimNanos) {
+                return 0;
+            }
+            return waitNanos == 0 ? 1 : CROWDED;
+        }
+    }
+
+    ServicePool(String service, PlacerContext context) {
         this.context = context;
-        away = new AwayShare(context.terms().regionShift(), context.time().nanos());
+        key = Hashes.of(service);
+        demand = DemandMeter.of(context.time(), DEMAND_SPAN);
+        away = new RegionPlan(context.terms().regionShift(), context.time().nanos());
     }
 
     /** Sets the targets; what is known of those that stay is kept. */
@@ -80,14 +99,17 @@
     /** Chooses a target for a request and counts the request there. */
     synchronized Placement place(Ask ask) {
         long now = context.time().nanos();
+        if (ask.tried().isEmpty()) {
+            demand.count();
+        }
         List<Gauge> usable = usable(ask, now);
         if (usable.isEmpty()) {
             return new Placement.Refused(Cause.NO_TARGET, NO_TARGET_RETRY);
         }
-        List<Candidate> candidates = candidates(ask, inRegion(ask, usable, now), now);
-        for (Candidate candidate : candidates) {
-            if (candidate.waitNanos() + work.nanos(true) > ask.left().toNanos()) {
-                return new Placement.Refused(Cause.BUSY, retryAfter(candidate));
+        List<Candidate> candidates = candidates(ask, inRegion(ask, usable), now);
+        for (Candidate candidate : inPreference(ask, candidates)) {
+            if (candidate.forecastNanos() > ask.left().toNanos()) {
+                continue;
             }
             if (passes(candidate.gauge(), now)) {
                 candidate.gauge().sent();
@@ -98,14 +120,31 @@
                         candidates.size());
             }
         }
-        return new Placement.Refused(Cause.BUSY, SHORTEST_RETRY);
+        return new Placement.Refused(Cause.BUSY, retryAfter(candidates));
     }
 
-    private Duration retryAfter(Candidate candidate) {
-        Duration wait = Duration.ofNanos((long) candidate.waitNanos());
+    private static Duration retryAfter(List<Candidate> candidates) {
+        double shortest =
+                candidates.stream().mapToDouble(Candidate::waitNanos).min().orElse(0);
+        Duration wait = Duration.ofNanos((long) shortest);
         return wait.compareTo(SHORTEST_RETRY) < 0 ? SHORTEST_RETRY : wait;
     }
 
+    /**
+     * Returns candidates in the order in which they are tried: first those that answer in time for full use, in the
+     * object's order; then those with a free slot, which learn the object; then by forecast.
+     */
+    private static List<Candidate> inPreference(Ask ask, List<Candidate> candidates) {
+        double inAim = ask.inAim().toNanos();
+        Comparator<Candidate> byPreference = Comparator.comparingInt(candidate -> candidate.preference(inAim));
+        return candidates.stream()
+                .sorted(byPreference.thenComparingDouble(
+                        candidate -> candidate.preference(inAim) < Candidate.CROWDED
+                                ? candidate.rank()
+                                : candidate.forecastNanos()))
+                .toList();
+    }
+
     /** Returns the targets that may run a request; where all of them are suspect, none is taken to be. */
     private List<Gauge> usable(Ask ask, long now) {
         List<Gauge> allowed = open.stream()
@@ -119,7 +158,7 @@
     }
 
     /** Returns the targets of the region that is to serve a request. */
-    private List<Gauge> inRegion(Ask ask, List<Gauge> usable, long now) {
+    private List<Gauge> inRegion(Ask ask, List<Gauge> usable) {
         Map<String, List<Gauge>> byRegion = new HashMap<>();
         usable.forEach(gauge -> byRegion
                 .computeIfAbsent(gauge.region(), region -> new ArrayList<>())
@@ -128,9 +167,6 @@
         if (byRegion.size() < 2) {
             return usable;
         }
-        if (own.isEmpty()) {
-            away.all(now);
-        }
         boolean goes = own.isEmpty() || away.covers(Hashes.fraction(ask.drawnBy(), AWAY_SEED));
         if (!goes) {
             return own;
@@ -152,18 +188,20 @@
         return -Math.log(Hashes.fraction(ask.drawnBy(), Hashes.of(region))) / slots;
     }
 
+    /** Returns the targets as they stand for a request, in its object's order. */
     private List<Candidate> candidates(Ask ask, List<Gauge> gauges, long now) {
-        List<Gauge> order = new ArrayList<>(gauges);
         Comparator<Gauge> byObject = Comparator.comparingDouble(gauge -> draw(ask, gauge));
-        order.sort(byObject.thenComparing(gauge -> gauge.target().name()));
-        if (ask.bytes() >= LARGE_BODY) {
-            order.sort(Comparator.comparing(gauge -> !gauge.domain().equals(context.domain())));
-        }
+        Comparator<Gauge> order = ask.bytes() >= LARGE_BODY
+                ? Comparator.comparing((Gauge gauge) -> !gauge.domain().equals(context.domain()))
+                        .thenComparing(byObject)
+                : byObject;
+        List<Gauge> ordered = gauges.stream()
+                .sorted(order.thenComparing(gauge -> gauge.target().name()))
+                .toList();
         List<Candidate> candidates = new ArrayList<>();
-        for (int rank = 0; rank < order.size(); rank++) {
-            candidates.add(candidate(ask, order.get(rank), rank, now));
+        for (int rank = 0; rank < ordered.size(); rank++) {
+            candidates.add(candidate(ask, ordered.get(rank), rank, now));
         }
-        candidates.sort(Comparator.comparingDouble(Candidate::cost));
         return candidates;
     }
 
@@ -174,17 +212,13 @@
 
     private Candidate candidate(Ask ask, Gauge gauge, int rank, long now) {
         int busy = busy(gauge);
-        double usual = work.usualNanos();
-        double wait = Math.max(0, busy - gauge.slots() + 1) * usual / gauge.slots();
-        double own = work.nanos(gauge.knows(ask.object())) * (gauge.knows(ask.object()) ? 1 : NEW_OBJECT_COST);
-        double cost = wait + own + rank * COST_PER_RANK_NANOS;
-        if (gauge.target().isCold(now)) {
-            cost += work.nanos(false);
-        }
-        if (gauge.health().avoided(now)) {
-            cost += AVOIDED_COST * usual;
-        }
-        return new Candidate(gauge, busy, wait, cost);
+        double wait = Math.max(0, busy - gauge.slots() + 1) * work.usualNanos() / gauge.slots();
+        // The first target of an object's order is where other hosts send it too, so it knows the object.
+        boolean known = rank == 0 || gauge.knows(ask.object());
+        boolean cold = gauge.target().isCold(now);
+        double own = cold ? work.nanos(false) * COLD_FACTOR : work.nanos(known);
+        double forecast = wait + own + context.distance(gauge.domain(), gauge.region());
+        return new Candidate(gauge, rank, busy, wait, forecast, cold || gauge.health().avoided(now));
     }
 
     private int busy(Gauge gauge) {
@@ -222,17 +256,28 @@
         return gauge.health().ended(ending, context.time().nanos());
     }
 
-    /** Moves what goes to other regions by how busy the own one is. */
+    /** Moves what goes to other regions by demand and capacity. */
     synchronized void tick() {
-        long now = context.time().nanos();
-        List<Gauge> own = open.stream()
-                .filter(gauge -> gauge.region().equals(context.region()))
-                .toList();
-        List<Gauge> others = open.stream()
-                .filter(gauge -> !gauge.region().equals(context.region()))
-                .toList();
-        boolean room = !others.isEmpty() && busyPart(others) < busyPart(own);
-        away.move(own.isEmpty() ? 1 : busyPart(own), room, now);
+        Map<String, Double> slots = new HashMap<>();
+        open.forEach(gauge -> slots.merge(gauge.region(), (double) gauge.slots(), Double::sum));
+        double perSlot = 1e9 / work.usualNanos();
+        double allSlots = slots.values().stream().mapToDouble(Double::doubleValue).sum();
+        Map<String, Double> demands = context.reports().serviceDemand(key);
+        double here = demand.perSecond();
+        double elsewhere =
+                demands.values().stream().mapToDouble(Double::doubleValue).sum();
+        away.move(
+                here + demands.getOrDefault(context.region(), 0.0),
+                here + elsewhere,
+                slots.getOrDefault(context.region(), 0.0) * perSlot,
+                allSlots * perSlot,
+                context.regionPart(),
+                context.time().nanos());
+    }
+
+    /** Returns the requests per second that arrive here. */
+    synchronized double demand() {
+        return demand.perSecond();
     }
 
     /** Adds the requests in progress at each target from here, by the hash of the target's name. */
--- a/core/src/main/java/org/knapweedhatch/report/DemandMeter.java
+++ b/core/src/main/java/org/knapweedhatch/report/DemandMeter.java
@@ -28,8 +28,13 @@
 
     /** Counts one request. */
     public void count() {
+        count(1);
+    }
+
+    /** Counts some requests. */
+    public void count(long requests) {
         age();
-        perSecond += Duration.ofSeconds(1).toNanos() / spanNanos;
+        perSecond += requests * Duration.ofSeconds(1).toNanos() / spanNanos;
     }
 
     /** Returns the average now. */
--- a/core/src/main/java/org/knapweedhatch/report/HostReport.java
+++ b/core/src/main/java/org/knapweedhatch/report/HostReport.java
@@ -10,6 +10,7 @@
  * @param sequence number of the report; later ones of a process are higher
  * @param uses requests in progress by target
  * @param teamDemand requests per second that arrive here by team
+ * @param teamSpent requests that each of these teams has spent of its rate here since the process began
  * @param serviceDemand requests per second that arrive here by service
  * @param held versions of the store up to which the host knows each kind of object, in a fixed order
  */
@@ -17,6 +18,7 @@
         long sequence,
         Map<Integer, Integer> uses,
         Map<Integer, Double> teamDemand,
+        Map<Integer, Long> teamSpent,
         Map<Integer, Double> serviceDemand,
         List<Long> held)
         implements PeerMessage {
@@ -25,6 +27,7 @@
     public HostReport {
         uses = Map.copyOf(uses);
         teamDemand = Map.copyOf(teamDemand);
+        teamSpent = Map.copyOf(teamSpent);
         serviceDemand = Map.copyOf(serviceDemand);
         held = List.copyOf(held);
     }
--- a/core/src/main/java/org/knapweedhatch/report/ReportBook.java
+++ b/core/src/main/java/org/knapweedhatch/report/ReportBook.java
@@ -23,6 +23,7 @@
     private final TimeSource time;
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<Integer, Integer> uses = new HashMap<>();
+    private final Map<Integer, Long> spentElsewhere = new HashMap<>();
 
     /** What one process said last. */
     private record Entry(String region, long incarnation, HostReport report, long heardNanos) {}
@@ -47,11 +48,22 @@
                 return;
             }
             remove(last);
+            if (incarnation == last.incarnation()) {
+                countSpent(last.report(), report);
+            }
         }
         entries.put(host, new Entry(region, incarnation, report, time.nanos()));
         report.uses().forEach((target, count) -> uses.merge(target, count, Integer::sum));
     }
 
+    /** Counts what was spent between two reports of a process; what it spent while it was not heard is its own part. */
+    private void countSpent(HostReport before, HostReport after) {
+        after.teamSpent().forEach((team, spent) -> {
+            long already = before.teamSpent().getOrDefault(team, spent);
+            spentElsewhere.merge(team, Math.max(0, spent - already), Long::sum);
+        });
+    }
+
     private void remove(Entry entry) {
         entry.report().uses().forEach((target, count) -> uses.merge(target, -count, Integer::sum));
     }
@@ -73,6 +85,11 @@
         return uses.getOrDefault(target, 0);
     }
 
+    /** Returns what the hosts that are heard have spent of a team's rate since this book began. */
+    public synchronized long spentElsewhere(int team) {
+        return spentElsewhere.getOrDefault(team, 0L);
+    }
+
     /** Returns how many other hosts are heard. */
     public synchronized int heardHosts() {
         return entries.size();
--- a/core/src/test/java/org/knapweedhatch/member/MembershipTest.java
+++ b/core/src/test/java/org/knapweedhatch/member/MembershipTest.java
@@ -31,6 +31,17 @@
         net.hosts.keySet().forEach(name -> assertEquals(ALIVE, net.seen(name), name));
     }
 
+    @Test
+    void hostsThatMeetOnlyThroughOneSeedLearnOfEachOther() {
+        for (long seed = 1; seed <= 20; seed++) {
+            Net seeded = Net.ofSeeds(seed, 3, 2, 2);
+            seeded.run(Duration.ofSeconds(8));
+            for (String name : seeded.hosts.keySet()) {
+                assertEquals(ALIVE, seeded.seen(name), name + " seed " + seed + " " + seeded.views(name));
+            }
+        }
+    }
+
     @Test
     void deadHostIsSilentEverywhere() {
         net.kill("r0a-1");
--- a/core/src/test/java/org/knapweedhatch/member/Net.java
+++ b/core/src/test/java/org/knapweedhatch/member/Net.java
@@ -80,6 +80,19 @@
         return net;
     }
 
+    /** Creates hosts as {@link #of} does, which at first know no other than one host of each region. */
+    static Net ofSeeds(long seed, int regions, int domains, int perDomain) {
+        Net net = of(seed, regions, domains, perDomain);
+        net.processes.clear();
+        net.wire.clear();
+        net.listed = List.of();
+        List<Host> seeds = net.hosts.values().stream()
+                .filter(host -> host.name().endsWith("a-0"))
+                .toList();
+        net.hosts.keySet().forEach(name -> net.start(name, seeds, Duration.ZERO));
+        return net;
+    }
+
     private void add(String region, String domain, int number) {
         String name = domain + "-" + number;
         int port = 1000 + hosts.size();
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -27,6 +27,7 @@
 import org.knapweedhatch.platform.store.HttpPlatform;
 import org.knapweedhatch.platform.wire.PlatformHeaders;
 import org.knapweedhatch.quota.FleetSize;
+import org.knapweedhatch.quota.RateSpent;
 import org.knapweedhatch.quota.RetryAllowance;
 import org.knapweedhatch.quota.SeenHosts;
 import org.knapweedhatch.quota.TeamShares;
@@ -36,6 +37,7 @@
 import org.knapweedhatch.steer.Directory;
 import org.knapweedhatch.steer.Rendezvous;
 import org.knapweedhatch.store.Beliefs;
+import org.knapweedhatch.store.HostRegistry;
 import org.knapweedhatch.store.Kind;
 import org.knapweedhatch.store.KindFeed;
 import org.knapweedhatch.store.PeerNews;
@@ -61,6 +63,12 @@
 
     private static final Duration POLL = Duration.ofMillis(50);
 
+    /** Time there and back between failure domains of a region; 8 to 10 ms in the deployments seen. */
+    private static final Duration DOMAIN_DISTANCE = Duration.ofMillis(9);
+
+    /** Time there and back between regions; 24 to 70 ms in the deployments seen. */
+    private static final Duration REGION_DISTANCE = Duration.ofMillis(45);
+
     /** Ticks of the peers between two reports to them: a quarter of a second. */
     private static final int REPORT_TICKS = 2;
 
@@ -69,6 +77,7 @@
     private final TimeSource time;
     private final EventLog log;
     private final Beliefs beliefs;
+    private final HostWatch watch;
     private final SeenHosts hosts;
     private final ReportBook reports;
     private final TeamShares shares;
@@ -81,6 +90,7 @@
     private final FrontServer server;
     private final FrontPages pages;
     private final List<KindFeed> feeds;
+    private final HostRegistry registry;
     private volatile Directory directory;
     private volatile boolean leaving;
     private volatile boolean started;
@@ -95,6 +105,7 @@
         this.log = log;
         Host self = settings.host();
         beliefs = Beliefs.of(settings.domains(), time, log);
+        watch = new HostWatch(log);
         hosts = SeenHosts.of(time);
         reports = ReportBook.of(time);
         shares = TeamShares.of(settings.terms(), time, reports, this::fleet);
@@ -116,6 +127,7 @@
         feeds = Arrays.stream(Kind.values())
                 .map(kind -> KindFeed.start(store, kind.prefix(), beliefs.sink(kind)))
                 .toList();
+        registry = HostRegistry.start(store, self, peers, log);
         server = FrontServer.of(this);
         Admin admin = Admin.builder()
                 .page("/-/live", query -> Admin.Reply.text(200, "live\n"))
@@ -138,6 +150,7 @@
 
     private void viewed(View next) {
         view = next;
+        watch.seen(next);
         directory = Directory.of(next);
     }
 
@@ -185,8 +198,14 @@
     }
 
     private void report() {
-        HostReport report =
-                new HostReport(++reportsSent, placer.uses(), shares.demand(), Map.of(), beliefs.versions());
+        Map<Integer, Double> teamDemand = shares.demand();
+        HostReport report = new HostReport(
+                ++reportsSent,
+                placer.uses(),
+                teamDemand,
+                shares.spent(teamDemand.keySet()),
+                placer.demand(),
+                beliefs.versions());
         View now = view;
         if (now != null) {
             now.members().values().stream()
@@ -233,6 +252,26 @@
         return settings.host().domain();
     }
 
+    @Override
+    public double distance(String domain, String region) {
+        if (domain.equals(domain())) {
+            return 0;
+        }
+        return (region.equals(region()) ? DOMAIN_DISTANCE : REGION_DISTANCE).toNanos();
+    }
+
+    @Override
+    public double regionPart() {
+        View now = view;
+        if (now == null) {
+            return 1;
+        }
+        long near = now.members().values().stream()
+                .filter(member -> member.host().region().equals(region()))
+                .count();
+        return (double) near / now.members().size();
+    }
+
     @Override
     public Terms terms() {
         return settings.terms();
@@ -279,7 +318,7 @@
     }
 
     @Override
-    public Optional<Duration> spend(String team) {
+    public Optional<RateSpent> spend(String team) {
         return shares.spend(team);
     }
 
@@ -350,6 +389,7 @@
     /** Stops at once; requests in progress are cut. */
     public void stop() {
         feeds.forEach(KindFeed::stop);
+        registry.stop();
         server.stop();
         peers.stop();
         pages.stop();
--- a/daemon/src/main/java/org/knapweedhatch/front/Admission.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/Admission.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
@@ -11,6 +10,8 @@
 import org.knapweedhatch.answer.Reason;
 import org.knapweedhatch.answer.Refusal;
 import org.knapweedhatch.key.KeyCheck;
+import org.knapweedhatch.log.LineKind;
+import org.knapweedhatch.quota.RateSpent;
 import org.knapweedhatch.world.Access;
 import org.knapweedhatch.world.Configuration;
 import org.knapweedhatch.world.Destination;
@@ -66,9 +67,19 @@
             return refused(reason(rejected.reason()), "");
         }
         Team team = configuration.teams().get(((KeyCheck.Accepted) check).key().team());
-        Optional<Duration> wait = context.spend(team.name());
-        if (wait.isPresent()) {
-            return new Refused(Refusal.of(Reason.LIMITED).retryAfter(wait.get()), team.name());
+        Optional<RateSpent> spent = context.spend(team.name());
+        if (spent.isPresent()) {
+            context.log()
+                    .line(LineKind.LIMIT)
+                    .put("request", request.headers().get(context.headers().requestId()))
+                    .put("team", team.name())
+                    .put("rate", spent.get().rate())
+                    .put("level", spent.get().level())
+                    .put("own", spent.get().own())
+                    .put("hosts", spent.get().fleet().hosts())
+                    .put("heard", spent.get().fleet().heard())
+                    .write();
+            return new Refused(Refusal.of(Reason.LIMITED).retryAfter(spent.get().retryAfter()), team.name());
         }
         return admitted(
                 route.get(),
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -342,7 +342,7 @@
         Reason reason = mayHaveRun && notRun ? Reason.LOST : refusal.reason();
         line(reason.outcome() == org.knapweedhatch.answer.Outcome.NOT_RUN ? LineKind.REFUSED : LineKind.FAILED)
                 .put("reason", reason.name())
-                .put("team", team)
+                .put("refusedTeam", admitted == null ? team : null)
                 .put("sent", sent)
                 .write();
         complete(OwnAnswers.of(reason, refusal.retry(), id, context.headers()));
@@ -352,6 +352,7 @@
         EventLog.Line line = context.log().line(kind).put("request", id);
         if (admitted != null) {
             line.put("route", admitted.route().name()).put("service", admitted.service());
+            line.put("team", admitted.team());
             line.put("object", head.headers().get(context.headers().affinity()));
         }
         return line.putNanos("afterMs", context.time().nanos() - arrivedNanos)
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
@@ -1,12 +1,12 @@
 package org.knapweedhatch.front;
 
-import java.time.Duration;
 import java.util.Optional;
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.key.KeyRing;
 import org.knapweedhatch.log.EventLog;
 import org.knapweedhatch.message.HeaderScheme;
 import org.knapweedhatch.place.Placer;
+import org.knapweedhatch.quota.RateSpent;
 import org.knapweedhatch.world.Configuration;
 
 /** What requests need of their host. */
@@ -30,8 +30,8 @@
     /** Returns the choice of targets. */
     Placer placer();
 
-    /** Takes one request out of a team's rate; returns how long to wait where it is spent. */
-    Optional<Duration> spend(String team);
+    /** Takes one request out of a team's rate; returns why not where it is spent. */
+    Optional<RateSpent> spend(String team);
 
     /** Gives a request of a team back that was not sent to a target. */
     void giveBack(String team);
--- a/daemon/src/main/java/org/knapweedhatch/log/LineKind.java
+++ b/daemon/src/main/java/org/knapweedhatch/log/LineKind.java
@@ -20,6 +20,8 @@
     SENT(400),
     /** A request was answered with a target's answer. */
     ANSWERED(400),
+    /** A team's rate was spent when a request came: what was left over all hosts and here. */
+    LIMIT(200),
     /** A request was refused as not run. */
     REFUSED(400),
     /** A request ended without a target's answer, or its caller left. */
--- a/daemon/src/main/java/org/knapweedhatch/peer/ReportCodec.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/ReportCodec.java
@@ -21,7 +21,9 @@
     private static HostReportRecord report(HostReport message) {
         HostReportRecord.Builder record = HostReportRecord.newBuilder().setSequence(message.sequence());
         message.uses().forEach((target, uses) -> record.addUsedTargets(target).addUses(uses));
-        message.teamDemand().forEach((team, demand) -> record.addTeams(team).addTeamDemand(units(demand)));
+        message.teamDemand().forEach((team, demand) -> record.addTeams(team)
+                .addTeamDemand(units(demand))
+                .addTeamSpent(message.teamSpent().getOrDefault(team, 0L)));
         message.serviceDemand()
                 .forEach((service, demand) -> record.addServices(service).addServiceDemand(units(demand)));
         return record.addAllHeld(message.held()).build();
@@ -41,10 +43,20 @@
                 record.getSequence(),
                 uses,
                 demand(record.getTeamsList(), record.getTeamDemandList()),
+                spent(record.getTeamsList(), record.getTeamSpentList()),
                 demand(record.getServicesList(), record.getServiceDemandList()),
                 record.getHeldList());
     }
 
+    private static Map<Integer, Long> spent(List<Integer> names, List<Long> counts) {
+        Validate.isTrue(names.size() == counts.size(), "spent requests without their teams");
+        Map<Integer, Long> spent = new HashMap<>();
+        for (int i = 0; i < names.size(); i++) {
+            spent.put(names.get(i), Validate.notNegative(counts.get(i), "spent requests"));
+        }
+        return spent;
+    }
+
     private static Map<Integer, Double> demand(List<Integer> names, List<Long> units) {
         Validate.isTrue(names.size() == units.size(), "demand without its names");
         Map<Integer, Double> demand = new HashMap<>();
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/HostReportRecord.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/HostReportRecord.java
@@ -39,6 +39,7 @@
     services_ = emptyIntList();
     serviceDemand_ = emptyLongList();
     held_ = emptyLongList();
+    teamSpent_ = emptyLongList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -304,6 +305,36 @@
   }
   private int heldMemoizedSerializedSize = -1;
 
+  public static final int TEAM_SPENT_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList teamSpent_ =
+      emptyLongList();
+  /**
+   * <code>repeated uint64 team_spent = 9;</code>
+   * @return A list containing the teamSpent.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getTeamSpentList() {
+    return teamSpent_;
+  }
+  /**
+   * <code>repeated uint64 team_spent = 9;</code>
+   * @return The count of teamSpent.
+   */
+  public int getTeamSpentCount() {
+    return teamSpent_.size();
+  }
+  /**
+   * <code>repeated uint64 team_spent = 9;</code>
+   * @param index The index of the element to return.
+   * @return The teamSpent at the given index.
+   */
+  public long getTeamSpent(int index) {
+    return teamSpent_.getLong(index);
+  }
+  private int teamSpentMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -371,6 +402,13 @@
     for (int i = 0; i < held_.size(); i++) {
       output.writeUInt64NoTag(held_.getLong(i));
     }
+    if (getTeamSpentList().size() > 0) {
+      output.writeUInt32NoTag(74);
+      output.writeUInt32NoTag(teamSpentMemoizedSerializedSize);
+    }
+    for (int i = 0; i < teamSpent_.size(); i++) {
+      output.writeUInt64NoTag(teamSpent_.getLong(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -468,6 +506,20 @@
       }
       heldMemoizedSerializedSize = dataSize;
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < teamSpent_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt64SizeNoTag(teamSpent_.getLong(i));
+      }
+      size += dataSize;
+      if (!getTeamSpentList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      teamSpentMemoizedSerializedSize = dataSize;
+    }
     return size;
   }
   @java.lang.Override
@@ -508,6 +560,8 @@
         .equals(other.getServiceDemandList())) return false;
     if (!getHeldList()
         .equals(other.getHeldList())) return false;
+    if (!getTeamSpentList()
+        .equals(other.getTeamSpentList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -550,6 +604,10 @@
       hash = (37 * hash) + HELD_FIELD_NUMBER;
       hash = (53 * hash) + getHeldList().hashCode();
     }
+    if (getTeamSpentCount() > 0) {
+      hash = (37 * hash) + TEAM_SPENT_FIELD_NUMBER;
+      hash = (53 * hash) + getTeamSpentList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -693,6 +751,7 @@
       services_ = emptyIntList();
       serviceDemand_ = emptyLongList();
       held_ = emptyLongList();
+      teamSpent_ = emptyLongList();
       return this;
     }
 
@@ -757,6 +816,10 @@
         held_.makeImmutable();
         result.held_ = held_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        teamSpent_.makeImmutable();
+        result.teamSpent_ = teamSpent_;
+      }
     }
 
     @java.lang.Override
@@ -851,6 +914,17 @@
         }
         onChanged();
       }
+      if (!other.teamSpent_.isEmpty()) {
+        if (teamSpent_.isEmpty()) {
+          teamSpent_ = other.teamSpent_;
+          teamSpent_.makeImmutable();
+          bitField0_ |= 0x00000100;
+        } else {
+          ensureTeamSpentIsMutable();
+          teamSpent_.addAll(other.teamSpent_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -995,6 +1069,22 @@
               input.popLimit(limit);
               break;
             } // case 66
+            case 72: {
+              long v = input.readUInt64();
+              ensureTeamSpentIsMutable();
+              teamSpent_.addLong(v);
+              break;
+            } // case 72
+            case 74: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureTeamSpentIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                teamSpent_.addLong(input.readUInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1706,6 +1796,90 @@
       return this;
     }
 
+    private com.google.protobuf.Internal.LongList teamSpent_ = emptyLongList();
+    private void ensureTeamSpentIsMutable() {
+      if (!teamSpent_.isModifiable()) {
+        teamSpent_ = makeMutableCopy(teamSpent_);
+      }
+      bitField0_ |= 0x00000100;
+    }
+    /**
+     * <code>repeated uint64 team_spent = 9;</code>
+     * @return A list containing the teamSpent.
+     */
+    public java.util.List<java.lang.Long>
+        getTeamSpentList() {
+      teamSpent_.makeImmutable();
+      return teamSpent_;
+    }
+    /**
+     * <code>repeated uint64 team_spent = 9;</code>
+     * @return The count of teamSpent.
+     */
+    public int getTeamSpentCount() {
+      return teamSpent_.size();
+    }
+    /**
+     * <code>repeated uint64 team_spent = 9;</code>
+     * @param index The index of the element to return.
+     * @return The teamSpent at the given index.
+     */
+    public long getTeamSpent(int index) {
+      return teamSpent_.getLong(index);
+    }
+    /**
+     * <code>repeated uint64 team_spent = 9;</code>
+     * @param index The index to set the value at.
+     * @param value The teamSpent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTeamSpent(
+        int index, long value) {
+
+      ensureTeamSpentIsMutable();
+      teamSpent_.setLong(index, value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint64 team_spent = 9;</code>
+     * @param value The teamSpent to add.
+     * @return This builder for chaining.
+     */
+    public Builder addTeamSpent(long value) {
+
+      ensureTeamSpentIsMutable();
+      teamSpent_.addLong(value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint64 team_spent = 9;</code>
+     * @param values The teamSpent to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllTeamSpent(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureTeamSpentIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, teamSpent_);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint64 team_spent = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTeamSpent() {
+      teamSpent_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:knapweedhatch.HostReportRecord)
   }
 
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/HostReportRecordOrBuilder.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/HostReportRecordOrBuilder.java
@@ -158,4 +158,21 @@
    * @return The held at the given index.
    */
   long getHeld(int index);
+
+  /**
+   * <code>repeated uint64 team_spent = 9;</code>
+   * @return A list containing the teamSpent.
+   */
+  java.util.List<java.lang.Long> getTeamSpentList();
+  /**
+   * <code>repeated uint64 team_spent = 9;</code>
+   * @return The count of teamSpent.
+   */
+  int getTeamSpentCount();
+  /**
+   * <code>repeated uint64 team_spent = 9;</code>
+   * @param index The index of the element to return.
+   * @return The teamSpent at the given index.
+   */
+  long getTeamSpent(int index);
 }
--- a/daemon/src/main/java/org/knapweedhatch/peer/proto/Report.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/proto/Report.java
@@ -40,12 +40,13 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\014report.proto\022\rknapweedhatch\"\244\001\n\020HostRe" +
+      "\n\014report.proto\022\rknapweedhatch\"\270\001\n\020HostRe" +
       "portRecord\022\020\n\010sequence\030\001 \001(\004\022\024\n\014used_tar" +
       "gets\030\002 \003(\007\022\014\n\004uses\030\003 \003(\r\022\r\n\005teams\030\004 \003(\007\022" +
       "\023\n\013team_demand\030\005 \003(\004\022\020\n\010services\030\006 \003(\007\022\026" +
-      "\n\016service_demand\030\007 \003(\004\022\014\n\004held\030\010 \003(\004B \n\034" +
-      "org.knapweedhatch.peer.protoP\001b\006proto3"
+      "\n\016service_demand\030\007 \003(\004\022\014\n\004held\030\010 \003(\004\022\022\n\n" +
+      "team_spent\030\t \003(\004B \n\034org.knapweedhatch.pe" +
+      "er.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -56,7 +57,7 @@
     internal_static_knapweedhatch_HostReportRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_HostReportRecord_descriptor,
-        new java.lang.String[] { "Sequence", "UsedTargets", "Uses", "Teams", "TeamDemand", "Services", "ServiceDemand", "Held", });
+        new java.lang.String[] { "Sequence", "UsedTargets", "Uses", "Teams", "TeamDemand", "Services", "ServiceDemand", "Held", "TeamSpent", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
