--- a/core/src/main/java/org/knapweedhatch/platform/Held.java
+++ b/core/src/main/java/org/knapweedhatch/platform/Held.java
@@ -22,10 +22,16 @@
     }
 
     /** Takes in a whole listing; returns false, and changes nothing, where it is older than what is held. */
-    public synchronized boolean replace(Listing listing) {
+    public boolean replace(Listing listing) {
+        return replace(listing, 0);
+    }
+
+    /** Takes in a whole listing of which a holder elsewhere says that its last change has a version. */
+    public synchronized boolean replace(Listing listing, long lastChange) {
         if (listing.asOf() < asOf) {
             return false;
         }
+        version = Math.max(version, lastChange);
         boolean deleted = objects.size() > listing.objects().size();
         objects.clear();
         listing.objects().forEach(object -> objects.put(object.name(), object));
--- a/daemon/src/main/java/org/knapweedhatch/store/Beliefs.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/Beliefs.java
@@ -1,6 +1,7 @@
 package org.knapweedhatch.store;
 
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,7 +45,8 @@
     private Set<String> evacuated = Set.of();
     private volatile Configuration configuration = Configuration.empty();
     private volatile KeyRing keys = KeyRing.empty();
-    private volatile boolean targetsKnown;
+    private final Set<Kind> heardOf = EnumSet.noneOf(Kind.class);
+    private volatile boolean complete;
 
     private Beliefs(Map<String, String> domains, TimeSource time, EventLog log) {
         this.domains = domains;
@@ -82,9 +84,9 @@
         return targets.targets();
     }
 
-    /** Returns whether both a configuration and the targets have been heard of. */
+    /** Returns whether every kind of object has been heard of, and a configuration is in force. */
     public boolean complete() {
-        return configuration.number() > 0 && targetsKnown;
+        return complete;
     }
 
     /** Returns the versions of what is held, in the order of the kinds. */
@@ -107,9 +109,13 @@
         return new StoreSink(kind);
     }
 
-    /** Takes in what another host holds of a kind; older news than what is held change nothing. */
-    public synchronized void heard(Kind kind, String from, Listing listing) {
-        if (!held.get(kind).replace(listing)) {
+    /**
+     * Takes in what another host holds of a kind; older news than what is held change nothing.
+     *
+     * @param version version of the last change that the other host holds
+     */
+    public synchronized void heard(Kind kind, String from, Listing listing, long version) {
+        if (!held.get(kind).replace(listing, version)) {
             return;
         }
         log.line(LineKind.DEPENDENCY)
@@ -129,14 +135,12 @@
     private void believe(Kind kind, Listing listing) {
         switch (kind) {
             case CONFIGURATION -> listing.objects().forEach(this::configure);
-            case TARGETS -> {
-                targets.replaceAll(listing.objects().stream()
-                        .flatMap(entry -> decode(entry).stream())
-                        .toList());
-                targetsKnown = true;
-            }
+            case TARGETS -> targets.replaceAll(listing.objects().stream()
+                    .flatMap(entry -> decode(entry).stream())
+                    .toList());
             case EVACUATIONS -> evacuate(listing);
         }
+        heardOf.add(kind);
         publish();
     }
 
@@ -214,6 +218,7 @@
     }
 
     private void publish() {
+        complete = configuration.number() > 0 && heardOf.size() == Kind.values().length;
         listeners.forEach(Runnable::run);
     }
 
--- a/daemon/src/main/java/org/knapweedhatch/store/PeerNews.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/PeerNews.java
@@ -105,23 +105,23 @@
         boolean due = now - state.sinceNanos >= patience.toNanos() && now - state.askedNanos >= PACE.toNanos();
         if (due) {
             state.askedNanos = now;
-            ask(kind, latest.getKey());
+            ask(kind, latest.getKey(), latest.getValue());
         }
     }
 
-    private void ask(Kind kind, String host) {
+    private void ask(Kind kind, String host, long version) {
         fetch.apply(host, PREFIX + kind.name()).thenAccept(answer -> {
             if (answer.isOk()) {
-                take(kind, host, answer.orThrow());
+                take(kind, host, answer.orThrow(), version);
             } else {
                 fail(kind, host, answer.fault().toString());
             }
         });
     }
 
-    private void take(Kind kind, String host, byte[] json) {
+    private void take(Kind kind, String host, byte[] json, long version) {
         try {
-            beliefs.heard(kind, host, Wire.readListing(Wire.kind(kind.prefix()), json));
+            beliefs.heard(kind, host, Wire.readListing(Wire.kind(kind.prefix()), json), version);
         } catch (IOException e) {
             fail(kind, host, "not the JSON of a listing");
         }
