--- a/daemon/src/main/java/org/knapweedhatch/store/Beliefs.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/Beliefs.java
@@ -145,7 +145,7 @@
     }
 
     /** Drops what has had the time to come back; to be called several times a second. */
-    public void tick() {
+    public synchronized void tick() {
         List<KnownTarget> before = targets.targets();
         targets.tick();
         if (targets.targets() != before) {
@@ -154,7 +154,7 @@
     }
 
     /** Treats a target as cold: it was away for a time and may have started anew. */
-    public void chill(String target) {
+    public synchronized void chill(String target) {
         targets.chill(target);
         publish();
     }
@@ -217,6 +217,7 @@
         targets.evacuate(named);
     }
 
+    /** Runs the listeners under the lock: else an older state could reach them after a newer one. */
     private void publish() {
         complete = configuration.number() > 0 && heardOf.size() == Kind.values().length;
         listeners.forEach(Runnable::run);
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/store/BeliefsTest.java
@@ -0,0 +1,177 @@
+package org.knapweedhatch.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedhatch.clock.ManualTime;
+import org.knapweedhatch.fault.Fault;
+import org.knapweedhatch.fault.Step;
+import org.knapweedhatch.log.EventLog;
+import org.knapweedhatch.platform.Changes;
+import org.knapweedhatch.platform.Listing;
+import org.knapweedhatch.platform.StoredObject;
+import org.knapweedhatch.target.KnownTarget;
+
+class BeliefsTest {
+
+    private static final String CONFIGURATION = "{\"Version\":\"r%d\",\"Routes\":[],\"Services\":[{\"Name\":\"orders\","
+            + "\"HealthPath\":\"/health\",\"MaxConns\":330,\"ColdStart\":\"3s\",\"ColdPerS\":14.0}]}";
+    private static final String TARGET = "{\"Address\":\"10.0.0.%d:80\",\"Info\":{\"Service\":\"orders\",\"Version\":\"v1\","
+            + "\"Zone\":\"%s\",\"Slots\":5},\"Status\":{\"State\":\"ready\",\"Seq\":4,\"ColdRemaining\":\"0ms\"},\"born\":7}";
+
+    private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
+    private final EventLog log = EventLog.start(OutputStream.nullOutputStream(), "test", time);
+    private final Beliefs beliefs =
+            Beliefs.of(Map.of("lima-a", "lima", "lima-b", "lima"), time, log);
+
+    @AfterEach
+    void stop() {
+        log.close();
+    }
+
+    private static StoredObject object(String name, long version, String body) {
+        return new StoredObject(name, version, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static StoredObject configuration(long version, int number) {
+        return object("config/main", version, CONFIGURATION.formatted(number));
+    }
+
+    private static StoredObject target(String name, long version, String domain) {
+        return object("servers/" + name, version, TARGET.formatted(version % 200 + 1, domain));
+    }
+
+    private void list(Kind kind, long asOf, StoredObject... objects) {
+        beliefs.sink(kind).listed(new Listing(List.of(objects), asOf));
+    }
+
+    private void change(Kind kind, long asOf, List<StoredObject> changed, List<String> deleted) {
+        beliefs.sink(kind).changed(new Changes(changed, deleted, asOf));
+    }
+
+    private List<String> openTargets() {
+        return beliefs.targets().stream()
+                .filter(target -> !target.closed())
+                .map(KnownTarget::name)
+                .toList();
+    }
+
+    @Test
+    void nothingIsServedBeforeEveryKindWasHeardOf() {
+        list(Kind.CONFIGURATION, 3, configuration(2, 1));
+        list(Kind.TARGETS, 3, target("i-1", 3, "lima-a"));
+        assertFalse(beliefs.complete());
+        list(Kind.EVACUATIONS, 3);
+        assertTrue(beliefs.complete());
+    }
+
+    @Test
+    void anEvacuatedDomainIsClosedUntilItIsTakenBackAndColdThen() {
+        list(Kind.CONFIGURATION, 3, configuration(2, 1));
+        list(Kind.TARGETS, 4, target("i-1", 3, "lima-a"), target("i-2", 4, "lima-b"));
+        list(Kind.EVACUATIONS, 4, object("evacuations/lima-a", 4, "{}"));
+        assertEquals(List.of("i-2"), openTargets());
+        change(Kind.EVACUATIONS, 9, List.of(), List.of("evacuations/lima-a"));
+        assertEquals(List.of("i-1", "i-2"), openTargets());
+        assertTrue(beliefs.targets().get(0).isCold(time.nanos()));
+        assertFalse(beliefs.targets().get(1).isCold(time.nanos()));
+        time.advance(Duration.ofSeconds(3));
+        assertFalse(beliefs.targets().get(0).isCold(time.nanos()));
+    }
+
+    @Test
+    void aConfigurationNeverGoesBack() {
+        list(Kind.CONFIGURATION, 9, configuration(9, 7));
+        list(Kind.CONFIGURATION, 9, configuration(8, 5));
+        beliefs.heard(Kind.CONFIGURATION, "lima-b-1", new Listing(List.of(configuration(3, 3)), 3), 3);
+        assertEquals(7, beliefs.configuration().number());
+    }
+
+    @Test
+    void anEntryThatCannotBeReadNamesNoTargetAndTheOthersHold() {
+        list(Kind.CONFIGURATION, 3, configuration(2, 1));
+        list(Kind.TARGETS, 4, target("i-1", 3, "lima-a"), object("servers/i-2", 4, "{\"Info\":7}"));
+        assertEquals(List.of("i-1"), openTargets());
+    }
+
+    @Test
+    void whatLapsesInAnOutageIsKeptUntilItHadTheTimeToComeBack() {
+        list(Kind.CONFIGURATION, 3, configuration(2, 1));
+        list(Kind.TARGETS, 4, target("i-1", 3, "lima-a"), target("i-2", 4, "lima-b"));
+        KindFeed.Sink sink = beliefs.sink(Kind.TARGETS);
+        sink.failed(Fault.at(Step.PLATFORM, "servers/", "down"));
+        time.advance(Duration.ofSeconds(10));
+        sink.regained();
+        sink.listed(new Listing(List.of(), 8));
+        assertEquals(List.of("i-1", "i-2"), openTargets());
+        time.advance(Duration.ofMillis(1_500));
+        sink.changed(new Changes(List.of(target("i-2", 9, "lima-b")), List.of(), 9));
+        time.advance(Duration.ofSeconds(1));
+        beliefs.tick();
+        assertEquals(List.of("i-2"), openTargets());
+    }
+
+    @Test
+    void aHostThatTheStoreTurnsAwayLearnsFromAnother() {
+        list(Kind.CONFIGURATION, 3, configuration(2, 1));
+        list(Kind.TARGETS, 4, target("i-1", 3, "lima-a"));
+        beliefs.sink(Kind.TARGETS).failed(Fault.at(Step.PLATFORM, "servers/", "status 503"));
+        beliefs.heard(Kind.TARGETS, "lima-b-1", new Listing(List.of(target("i-9", 8, "lima-b")), 8), 8);
+        time.advance(Duration.ofSeconds(3));
+        beliefs.tick();
+        assertEquals(List.of("i-9"), openTargets());
+        assertEquals(8, beliefs.versions().get(Kind.TARGETS.ordinal()));
+    }
+
+    /** Found by a day of a kill of all hosts: requests went on to an evacuated domain for good. */
+    @Test
+    void listenersNeverSeeAnOlderStateAfterANewerOne() throws InterruptedException {
+        list(Kind.CONFIGURATION, 3, configuration(2, 1));
+        list(Kind.TARGETS, 4, target("i-1", 3, "lima-a"), target("i-2", 4, "lima-b"));
+        List<KnownTarget>[] seen = new List[1];
+        beliefs.onChange(() -> {
+            List<KnownTarget> now = beliefs.targets();
+            LockSupport.parkNanos(Duration.ofMillis(1).toNanos());
+            seen[0] = now;
+        });
+        for (int round = 0; round < 200; round++) {
+            long asOf = 10 + round;
+            CountDownLatch go = new CountDownLatch(1);
+            Thread chilling = new Thread(() -> {
+                await(go);
+                beliefs.chill("i-2");
+            });
+            chilling.start();
+            go.countDown();
+            boolean evacuated = round % 2 == 0;
+            StoredObject entry = object("evacuations/lima-a", asOf, "{}");
+            change(
+                    Kind.EVACUATIONS,
+                    asOf,
+                    evacuated ? List.of(entry) : List.of(),
+                    evacuated ? List.of() : List.of(entry.name()));
+            chilling.join();
+            assertEquals(new ArrayList<>(beliefs.targets()), seen[0], "round " + round);
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
