--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -31,6 +31,7 @@
     /** An idle connection that was used within this time carries requests that must not run twice. */
     private static final Duration FRESH = Duration.ofSeconds(2);
 
+    private static final int MISDIRECTED = 421;
     private static final Duration ANY_AGE = Duration.ofDays(1);
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
 
@@ -213,7 +214,7 @@
             Optional<String> load =
                     Optional.ofNullable(received.headers().get(context.headers().load()));
             int status = received.status().code();
-            boolean notRun = received.headers().contains(context.headers().notRun()) || status == 421;
+            boolean notRun = connection.isNotRun(status, received.headers());
             Ending ending = ending(status, notRun);
             end(ending);
             if (notRun) {
@@ -232,7 +233,7 @@
 
         private static Ending ending(int status, boolean notRun) {
             if (notRun) {
-                return status == 421 ? Ending.MISDIRECTED : Ending.SHED;
+                return status == MISDIRECTED ? Ending.MISDIRECTED : Ending.SHED;
             }
             return status >= 500 ? Ending.FAILED : Ending.ANSWERED;
         }
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -178,14 +178,27 @@
             fail("an answer came that nobody asked for");
             return;
         }
-        String echoed = response.headers().get(scheme.requestId());
-        skipping = !request.id().isEmpty() && !request.id().equals(echoed);
+        skipping = !isOwn(response);
         if (!skipping) {
             head = response;
             body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
         }
     }
 
+    /** Returns whether an answer is that of the request in progress: it echoes its id, or refuses it without one. */
+    private boolean isOwn(HttpResponse response) {
+        String echoed = response.headers().get(scheme.requestId());
+        if (request.id().isEmpty() || request.id().equals(echoed)) {
+            return true;
+        }
+        return echoed == null && isNotRun(response.status().code(), response.headers());
+    }
+
+    /** Returns whether an answer states that the target did not run the request. */
+    boolean isNotRun(int status, HttpHeaders headers) {
+        return status == HttpResponseStatus.MISDIRECTED_REQUEST.code() || headers.contains(scheme.notRun());
+    }
+
     private void take(HttpContent content) {
         if (failed) {
             return;
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -0,0 +1,317 @@
+package org.knapweedhatch.front;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.helper.Digests;
+import org.knapweedhatch.key.KeyRing;
+import org.knapweedhatch.log.EventLog;
+import org.knapweedhatch.message.HeaderScheme;
+import org.knapweedhatch.place.Placer;
+import org.knapweedhatch.place.PlacerContext;
+import org.knapweedhatch.quota.FleetSize;
+import org.knapweedhatch.quota.RateSpent;
+import org.knapweedhatch.report.ReportBook;
+import org.knapweedhatch.target.KnownTarget;
+import org.knapweedhatch.world.Access;
+import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.Configuration;
+import org.knapweedhatch.world.Contract;
+import org.knapweedhatch.world.Destination;
+import org.knapweedhatch.world.FailureDomain;
+import org.knapweedhatch.world.Handling;
+import org.knapweedhatch.world.Key;
+import org.knapweedhatch.world.Region;
+import org.knapweedhatch.world.RequestKind;
+import org.knapweedhatch.world.Route;
+import org.knapweedhatch.world.Service;
+import org.knapweedhatch.world.Target;
+import org.knapweedhatch.world.Team;
+import org.knapweedhatch.world.Terms;
+
+/** One front server alone with scripted targets, on sockets. */
+final class FrontFixture implements FrontContext, PlacerContext, AutoCloseable {
+
+    static final String KEY = "secret-key-1";
+    private static final Duration LONGEST = Duration.ofSeconds(20);
+
+    private final TimeSource time = TimeSource.system();
+    private final EventLog log;
+    private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
+    private final ReportBook reports = ReportBook.of(time);
+    private final Placer placer = Placer.of(this);
+    private final List<ScriptedTarget> targets = new ArrayList<>();
+    private final FrontServer server;
+    private final Address address;
+    private volatile Configuration configuration = Configuration.empty();
+    private volatile KeyRing keys = KeyRing.empty();
+    private volatile boolean leaving;
+    volatile Optional<RateSpent> spent = Optional.empty();
+    volatile boolean mayRetry = true;
+
+    FrontFixture(int count) throws IOException {
+        log = EventLog.start(lines, "test", time);
+        for (int i = 0; i < count; i++) {
+            targets.add(ScriptedTarget.start());
+        }
+        configure(builder -> builder);
+        server = FrontServer.of(this);
+        address = new Address("127.0.0.1", freePort());
+        server.listen(address);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Puts a configuration in force: routes of each kind, changed by {@code change}. */
+    void configure(UnaryOperator<Configuration.Builder> change) {
+        Configuration.Builder builder = Configuration.builder()
+                .region(new Region("lima"))
+                .domain(new FailureDomain("lima-a", "lima"))
+                .service(new Service("orders", Duration.ofSeconds(5)))
+                .route(route("safe", "/safe/", RequestKind.IDEMPOTENT, Access.KEYED))
+                .route(route("once", "/once/", RequestKind.NON_IDEMPOTENT, Access.KEYED))
+                .route(route("open", "/open/", RequestKind.IDEMPOTENT, Access.OPEN))
+                .team(new Team("crew-1", Contract.unlimited()))
+                .key(new Key("k1", "crew-1", Digests.sha256(KEY)));
+        configuration = change.apply(builder).build(configuration.number() + 1);
+        keys = keys.configure(configuration);
+        List<KnownTarget> known = new ArrayList<>();
+        for (int i = 0; i < targets.size(); i++) {
+            Target target = new Target("t" + i, "orders", "lima-a", targets.get(i).address(), 5, 330);
+            known.add(new KnownTarget(target, "lima", 1, false, time.nanos()));
+        }
+        placer.targets(known, configuration.services());
+    }
+
+    static Route route(String name, String path, RequestKind kind, Access access) {
+        Handling handling = new Handling(kind, Duration.ofSeconds(3), Duration.ofSeconds(1), 2, 0, false);
+        return new Route(name, "a.example", path, List.of(new Destination("orders", 1)), access, handling, Set.of());
+    }
+
+    ScriptedTarget target(int index) {
+        return targets.get(index);
+    }
+
+    /** Returns how often a path was sent to any target. */
+    long sent(String path) {
+        return targets.stream()
+                .flatMap(target -> target.received().stream())
+                .filter(request -> request.path().equals(path))
+                .count();
+    }
+
+    FrontServer server() {
+        return server;
+    }
+
+    void leave() {
+        leaving = true;
+    }
+
+    String logged() throws IOException {
+        log.close();
+        return lines.toString(StandardCharsets.UTF_8);
+    }
+
+    /** A caller's connection. */
+    final class Caller implements AutoCloseable {
+        private final Socket socket;
+
+        Caller() throws IOException {
+            socket = new Socket(address.ip(), address.port());
+            socket.setSoTimeout((int) LONGEST.toMillis());
+        }
+
+        void send(String text) throws IOException {
+            OutputStream out = socket.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+
+        /** Reads one answer that states its length. */
+        Answer read() throws IOException {
+            InputStream in = socket.getInputStream();
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int next = in.read();
+                if (next < 0) {
+                    return new Answer(0, head.toString(), "");
+                }
+                head.append((char) next);
+            }
+            int status = Integer.parseInt(head.substring(9, 12));
+            Answer headOnly = new Answer(status, head.toString(), "");
+            int length = headOnly.header("content-length").map(Integer::parseInt).orElse(0);
+            return new Answer(
+                    status, head.toString(), new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+        }
+
+        boolean ended() throws IOException {
+            return socket.getInputStream().read() < 0;
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** An answer as the caller sees it. */
+    record Answer(int status, String head, String body) {
+        Optional<String> header(String name) {
+            return head.lines()
+                    .filter(line -> line.toLowerCase(java.util.Locale.ROOT)
+                            .startsWith(name.toLowerCase(java.util.Locale.ROOT) + ":"))
+                    .map(line -> line.substring(line.indexOf(':') + 1).trim())
+                    .findFirst();
+        }
+    }
+
+    static String request(String method, String path, String id, String extra, String body) {
+        return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\n" + HeaderScheme.own().key() + ": " + KEY + "\r\n"
+                + HeaderScheme.own().requestId() + ": " + id + "\r\n" + extra
+                + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body;
+    }
+
+    /** Sends one request on a connection of its own. */
+    Answer call(String method, String path) throws IOException {
+        return call(request(method, path, "id-" + method + path, "", method.equals("POST") ? "body" : ""));
+    }
+
+    Answer call(String text) throws IOException {
+        try (Caller caller = new Caller()) {
+            caller.send(text);
+            return caller.read();
+        }
+    }
+
+    static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + LONGEST.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("never came true: " + what);
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    @Override
+    public TimeSource time() {
+        return time;
+    }
+
+    @Override
+    public EventLog log() {
+        return log;
+    }
+
+    @Override
+    public HeaderScheme headers() {
+        return HeaderScheme.own();
+    }
+
+    @Override
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    @Override
+    public KeyRing keys() {
+        return keys;
+    }
+
+    @Override
+    public Placer placer() {
+        return placer;
+    }
+
+    @Override
+    public Optional<RateSpent> spend(String team) {
+        return spent;
+    }
+
+    @Override
+    public void giveBack(String team) {}
+
+    @Override
+    public void targetIsBack(String target) {}
+
+    @Override
+    public boolean mayRetry(String service) {
+        return mayRetry;
+    }
+
+    @Override
+    public void sentFirst(String service) {}
+
+    @Override
+    public boolean leaving() {
+        return leaving;
+    }
+
+    @Override
+    public String region() {
+        return "lima";
+    }
+
+    @Override
+    public String domain() {
+        return "lima-a";
+    }
+
+    @Override
+    public double distance(String domain, String region) {
+        return 0;
+    }
+
+    @Override
+    public double regionPart() {
+        return 1;
+    }
+
+    @Override
+    public Terms terms() {
+        return Terms.usual();
+    }
+
+    @Override
+    public ReportBook reports() {
+        return reports;
+    }
+
+    @Override
+    public FleetSize fleet() {
+        return new FleetSize(1, 1);
+    }
+
+    @Override
+    public int rankFor(String target) {
+        return 0;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.stop();
+        for (ScriptedTarget target : targets) {
+            target.close();
+        }
+        log.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
@@ -0,0 +1,344 @@
+package org.knapweedhatch.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.knapweedhatch.message.HeaderNames;
+import org.knapweedhatch.message.HeaderScheme;
+import org.knapweedhatch.quota.FleetSize;
+import org.knapweedhatch.quota.RateSpent;
+import org.knapweedhatch.world.Access;
+import org.knapweedhatch.world.CallerLimits;
+import org.knapweedhatch.world.Destination;
+import org.knapweedhatch.world.Handling;
+import org.knapweedhatch.world.RequestKind;
+import org.knapweedhatch.world.Route;
+
+class FrontServerTest {
+
+    private static final HeaderScheme HEADERS = HeaderScheme.own();
+
+    private FrontFixture front;
+
+    @BeforeEach
+    void start() throws IOException {
+        front = new FrontFixture(2);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        front.close();
+    }
+
+    private static String get(String path, String id) {
+        return FrontFixture.request("GET", path, id, "", "");
+    }
+
+    private ScriptedTarget.Received onlyReceived() {
+        List<ScriptedTarget.Received> all = new java.util.ArrayList<>(front.target(0).received());
+        all.addAll(front.target(1).received());
+        assertEquals(1, all.size());
+        return all.get(0);
+    }
+
+    @Test
+    void aRequestGoesToATargetUnchangedAndItsAnswerComesBackUnchanged() throws IOException {
+        FrontFixture.Answer answer = front.call(FrontFixture.request("POST", "/once/a%20b?q=1&r", "id-7", "X-Own: 5\r\n", "data"));
+        assertEquals(200, answer.status());
+        assertEquals("POST /once/a%20b?q=1&r data", answer.body());
+        assertEquals(Optional.of("signed"), answer.header(HEADERS.signature()));
+        assertEquals(Optional.of("id-7"), answer.header(HEADERS.requestId()));
+        ScriptedTarget.Received received = onlyReceived();
+        assertEquals("5", received.header("X-Own"));
+        assertEquals("a.example", received.header("Host"));
+        assertEquals("crew-1", received.header(HEADERS.team()));
+    }
+
+    @Test
+    void noTargetSeesTheKeyNorHeadersThatOnlyHostsSet() throws IOException {
+        String forged = HEADERS.team() + ": other\r\n" + HEADERS.expectedTarget() + ": t9\r\nConnection: X-Hop\r\nX-Hop: 1\r\n";
+        front.call(FrontFixture.request("GET", "/safe/a", "id-1", forged, ""));
+        ScriptedTarget.Received received = onlyReceived();
+        assertNull(received.header(HEADERS.key()));
+        assertNull(received.header("X-Hop"));
+        assertEquals("crew-1", received.header(HEADERS.team()));
+        assertTrue(Set.of("t0", "t1").contains(received.header(HEADERS.expectedTarget())));
+    }
+
+    @Test
+    void anOpenRoutePassesNeitherKeyNorTeam() throws IOException {
+        front.call(FrontFixture.request("GET", "/open/a", "id-1", HEADERS.team() + ": other\r\n", ""));
+        assertNull(onlyReceived().header(HEADERS.key()));
+        assertNull(onlyReceived().header(HEADERS.team()));
+    }
+
+    @Test
+    void theTargetIsToldWhatIsLeftOfTheCallersTimeAndNoMoreThanTheRoutesTimeout() throws IOException {
+        front.call(FrontFixture.request("GET", "/safe/a", "id-1", HEADERS.deadlineMs() + ": 900\r\n", ""));
+        long left = Long.parseLong(onlyReceived().header(HEADERS.deadlineMs()));
+        assertTrue(left > 500 && left <= 900, "left " + left);
+        front.call(FrontFixture.request("GET", "/safe/b", "id-2", HEADERS.deadlineMs() + ": 90000\r\n", ""));
+        assertTrue(List.of(front.target(0), front.target(1)).stream()
+                .flatMap(target -> target.received().stream())
+                .allMatch(request -> Long.parseLong(request.header(HEADERS.deadlineMs())) <= 3_000));
+    }
+
+    @Test
+    void pipelinedRequestsRunSideBySideAndAreAnsweredInOrder() throws IOException {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            long begun = System.nanoTime();
+            caller.send(get("/safe/1/wait", "a") + get("/safe/2", "b") + get("/safe/3/wait", "c"));
+            assertEquals(Optional.of("a"), caller.read().header(HEADERS.requestId()));
+            assertEquals("GET /safe/2 ", caller.read().body());
+            assertEquals("/safe/3/wait", caller.read().body());
+            assertTrue(Duration.ofNanos(System.nanoTime() - begun).compareTo(Duration.ofMillis(590)) < 0);
+        }
+    }
+
+    @Test
+    void chunkedBodiesArriveWhole() throws IOException {
+        String chunked = "POST /once/c HTTP/1.1\r\nHost: a.example\r\n" + HEADERS.key() + ": " + FrontFixture.KEY + "\r\n"
+                + HEADERS.requestId() + ": id-1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        assertEquals("POST /once/c abcde", front.call(chunked).body());
+    }
+
+    @Test
+    void aConnectionCarriesOneRequestAfterTheOther() throws IOException {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            for (int i = 0; i < 5; i++) {
+                caller.send(get("/safe/" + i, "id-" + i));
+                assertEquals("GET /safe/" + i + " ", caller.read().body());
+            }
+        }
+        assertTrue(front.target(0).connections() + front.target(1).connections() <= 2);
+    }
+
+    @Test
+    void unknownPathsAndKeysAreRefusedAndNothingIsSent() throws IOException {
+        assertEquals(404, front.call(get("/none/a", "1")).status());
+        assertEquals(404, front.call(get("/safe/a", "1").replace("a.example", "b.example")).status());
+        assertEquals(401, front.call(get("/safe/a", "1").replace(FrontFixture.KEY, "wrong-key-1")).status());
+        assertEquals(401, front.call(get("/safe/a", "1").replace(HEADERS.key(), "X-Other")).status());
+        assertEquals(0, front.target(0).received().size() + front.target(1).received().size());
+    }
+
+    @Test
+    void aWithdrawnKeyStopsAtTheNextRequestOfAnOpenConnection() throws IOException {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(get("/safe/a", "1"));
+            assertEquals(200, caller.read().status());
+            front.configure(builder -> {
+                builder.remove(org.knapweedhatch.world.Key.class, "k1");
+                return builder;
+            });
+            caller.send(get("/safe/b", "2"));
+            assertEquals(401, caller.read().status());
+        }
+    }
+
+    @Test
+    void aTeamOverItsRateIsRefusedWithTheTimeToComeBack() throws IOException {
+        front.spent = Optional.of(new RateSpent(Duration.ofMillis(250), 5, 0, 0, FleetSize.unknown()));
+        FrontFixture.Answer answer = front.call("GET", "/safe/a");
+        assertEquals(429, answer.status());
+        assertEquals(Optional.of("0.250"), answer.header("Retry-After"));
+        assertEquals(Optional.of(HeaderNames.NOT_RUN), answer.header(HeaderNames.OUTCOME));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"cut", "unframed-reset", "garbage", "drop", "error"})
+    void anIdempotentRequestIsTriedElsewhereAfterABadAnswer(String fault) throws IOException {
+        front.call("GET", "/safe/" + fault);
+        assertEquals(2, front.sent("/safe/" + fault));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"cut", "unframed-reset", "garbage", "drop"})
+    void aRequestThatMayHaveRunIsNeverSentAgainNorRefusedAsNotRun(String fault) throws IOException {
+        FrontFixture.Answer answer = front.call("POST", "/once/" + fault);
+        assertEquals(502, answer.status());
+        assertEquals(Optional.of(HeaderNames.UNKNOWN), answer.header(HeaderNames.OUTCOME));
+        assertFalse(answer.header(HEADERS.signature()).isPresent());
+        assertEquals(1, front.sent("/once/" + fault));
+    }
+
+    @Test
+    void aTargetsOwnFailureOfARequestThatRunsOnceIsPassedOn() throws IOException {
+        FrontFixture.Answer answer = front.call("POST", "/once/error");
+        assertEquals(500, answer.status());
+        assertEquals(Optional.of("signed"), answer.header(HEADERS.signature()));
+        assertEquals(1, front.sent("/once/error"));
+    }
+
+    @Test
+    void aRequestThatATargetSaysItDidNotRunIsTriedElsewhereWhateverItsKind() throws IOException {
+        front.target(0).shed(true);
+        front.target(1).shed(true);
+        FrontFixture.Answer answer = front.call("POST", "/once/a");
+        assertEquals(503, answer.status());
+        assertEquals(Optional.of(HeaderNames.NOT_RUN), answer.header(HeaderNames.OUTCOME));
+        assertTrue(answer.header("Retry-After").isPresent());
+        assertEquals(2, front.sent("/once/a"));
+        front.target(0).shed(false);
+        assertEquals(200, front.call("POST", "/once/b").status());
+    }
+
+    @Test
+    void aMisdirectedRequestIsTriedElsewhere() throws IOException {
+        assertEquals(503, front.call("POST", "/once/misdirected").status());
+        assertEquals(2, front.sent("/once/misdirected"));
+    }
+
+    @Test
+    void withoutBudgetNothingIsSentASecondTime() throws IOException {
+        front.mayRetry = false;
+        assertEquals(502, front.call("GET", "/safe/drop").status());
+        assertEquals(1, front.sent("/safe/drop"));
+    }
+
+    @Test
+    void aTargetThatCannotBeReachedCostsNoBudget() throws IOException {
+        front.mayRetry = false;
+        front.target(0).close();
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, front.call("POST", "/once/" + i).status());
+        }
+    }
+
+    @Test
+    void anAnswerToAnEarlierRequestIsReadPast() throws IOException {
+        FrontFixture.Answer answer = front.call("POST", "/once/late");
+        assertEquals("for you", answer.body());
+    }
+
+    @Test
+    void aSecondAnswerBelongsToNobody() throws IOException, InterruptedException {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            for (int i = 0; i < 6; i++) {
+                caller.send(get("/safe/" + i + "/twice", "id-" + i));
+                assertEquals("first", caller.read().body());
+                caller.send(FrontFixture.request("POST", "/once/" + i, "o-" + i, "", "x"));
+                assertEquals("POST /once/" + i + " x", caller.read().body());
+            }
+        }
+    }
+
+    @Test
+    void anAnswerThatEndsWithItsConnectionIsWhole() throws IOException {
+        FrontFixture.Answer answer = front.call("POST", "/once/unframed");
+        assertEquals("to the end", answer.body());
+        assertEquals(Optional.of("10"), answer.header("Content-Length"));
+    }
+
+    @Test
+    void whenTheCallerLeavesAnIdempotentRequestIsGivenUp() throws IOException, InterruptedException {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(get("/safe/hold", "1"));
+            FrontFixture.await("sent", () -> front.sent("/safe/hold") == 1);
+        }
+        FrontFixture.await(
+                "given up",
+                () -> front.target(0).callersGone() + front.target(1).callersGone() == 1);
+    }
+
+    @Test
+    void whenTheCallerLeavesARequestThatRunsOnceRunsToItsEnd() throws IOException, InterruptedException {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(FrontFixture.request("POST", "/once/hold", "1", "", "x"));
+            FrontFixture.await("sent", () -> front.sent("/once/hold") == 1);
+        }
+        Thread.sleep(150);
+        assertEquals(0, front.target(0).callersGone() + front.target(1).callersGone());
+        front.target(0).release();
+        front.target(1).release();
+        assertEquals(200, front.call("POST", "/once/after").status());
+    }
+
+    @Test
+    void aRequestEndsAtItsRoutesTimeout() throws IOException {
+        Handling hasty = new Handling(
+                RequestKind.NON_IDEMPOTENT, Duration.ofMillis(200), Duration.ofMillis(100), 2, 0, false);
+        front.configure(builder -> builder.route(new Route(
+                "hasty", "a.example", "/hasty/", List.of(new Destination("orders", 1)), Access.KEYED, hasty, Set.of())));
+        FrontFixture.Answer answer = front.call("POST", "/hasty/hold");
+        assertEquals(504, answer.status());
+        assertEquals(Optional.of(HeaderNames.UNKNOWN), answer.header(HeaderNames.OUTCOME));
+    }
+
+    @Test
+    void aLeavingHostGivesConnectionsBackWithTheirLastAnswer() throws IOException {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(get("/safe/1", "1"));
+            assertFalse(caller.read().header("Connection").isPresent());
+            front.leave();
+            caller.send(get("/safe/2/wait", "2") + get("/safe/3", "3"));
+            assertFalse(caller.read().header("Connection").isPresent());
+            FrontFixture.Answer last = caller.read();
+            assertEquals("GET /safe/3 ", last.body());
+            assertEquals(Optional.of("close"), last.header("Connection"));
+            assertTrue(caller.ended());
+        }
+    }
+
+    @Test
+    void aRequestThatAsksForItIsTheLastOfItsConnection() throws IOException {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(FrontFixture.request("GET", "/safe/1", "1", "Connection: close\r\n", ""));
+            assertEquals(Optional.of("close"), caller.read().header("Connection"));
+            assertTrue(caller.ended());
+        }
+    }
+
+    @Test
+    void whatIsLargerThanCallersMaySendIsRefused() throws IOException {
+        front.configure(builder -> builder.callerLimits(
+                new CallerLimits(2_000, 10, Duration.ofSeconds(1), Duration.ofSeconds(5))));
+        String head = "X-Long: " + "a".repeat(3_000) + "\r\n";
+        assertEquals(431, front.call(FrontFixture.request("GET", "/safe/a", "1", head, "")).status());
+        assertEquals(413, front.call(FrontFixture.request("POST", "/once/a", "1", "", "more than ten")).status());
+        assertEquals(400, front.call("this is no request\r\n\r\n").status());
+        assertEquals(0, front.target(0).received().size() + front.target(1).received().size());
+    }
+
+    @Test
+    void aHeadThatComesTooSlowlyIsGivenUp() throws IOException {
+        front.configure(builder -> builder.callerLimits(
+                new CallerLimits(2_000, 10, Duration.ofMillis(200), Duration.ofSeconds(5))));
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send("GET /safe/a HTTP/1.1\r\nHost: a.exam");
+            assertEquals(408, caller.read().status());
+            assertTrue(caller.ended());
+        }
+    }
+
+    @Test
+    void aHeadRequestIsAnsweredWithoutABody() throws IOException {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(FrontFixture.request("GET", "/safe/a", "1", "", ""));
+            assertEquals(200, caller.read().status());
+        }
+    }
+
+    @Test
+    void theWayOfARequestIsLoggedUnderItsId() throws IOException {
+        front.call(FrontFixture.request("POST", "/once/drop", "id-to-find", "", "x"));
+        List<String> lines =
+                front.logged().lines().filter(line -> line.contains("id-to-find")).toList();
+        assertTrue(lines.get(0).contains("\"event\":\"sent\""), lines.toString());
+        assertTrue(lines.get(1).contains("\"event\":\"attempt\""), lines.toString());
+        assertTrue(lines.get(1).contains("the target closed the connection"), lines.toString());
+        assertTrue(lines.get(2).contains("\"reason\":\"LOST\""), lines.toString());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -0,0 +1,237 @@
+package org.knapweedhatch.front;
+
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.knapweedhatch.message.HeaderScheme;
+import org.knapweedhatch.world.Address;
+
+/** A target on plain sockets that answers as the last part of the path says, and keeps what it was sent. */
+final class ScriptedTarget implements AutoCloseable {
+
+    private static final HeaderScheme HEADERS = HeaderScheme.own();
+
+    /** A request as it arrived; header names are in lower case. */
+    record Received(String method, String path, Map<String, String> headers, String body) {
+        String header(String name) {
+            return headers.get(name.toLowerCase(Locale.ROOT));
+        }
+    }
+
+    private final ServerSocket listener;
+    private final List<Received> received = new CopyOnWriteArrayList<>();
+    private final List<Socket> open = new CopyOnWriteArrayList<>();
+    private final CountDownLatch held = new CountDownLatch(1);
+    private volatile boolean sheds;
+    private final AtomicInteger callersGone = new AtomicInteger();
+    private final AtomicInteger connections = new AtomicInteger();
+
+    private ScriptedTarget(ServerSocket listener) {
+        this.listener = listener;
+    }
+
+    static ScriptedTarget start() throws IOException {
+        ScriptedTarget target = new ScriptedTarget(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+        daemon(target::accept);
+        return target;
+    }
+
+    private static void daemon(Runnable work) {
+        Thread thread = new Thread(work, "scripted-target");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    Address address() {
+        return new Address("127.0.0.1", listener.getLocalPort());
+    }
+
+    List<Received> received() {
+        return received;
+    }
+
+    int connections() {
+        return connections.get();
+    }
+
+    /** Returns how many connections ended while a request was held. */
+    int callersGone() {
+        return callersGone.get();
+    }
+
+    void shed(boolean all) {
+        sheds = all;
+    }
+
+    /** Lets held requests be answered. */
+    void release() {
+        held.countDown();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket caller = listener.accept();
+                connections.incrementAndGet();
+                open.add(caller);
+                daemon(() -> serve(caller));
+            }
+        } catch (IOException e) {
+            // The target was closed.
+        }
+    }
+
+    private void serve(Socket caller) {
+        try (caller) {
+            InputStream in = caller.getInputStream();
+            for (Received request = read(in); request != null; request = read(in)) {
+                received.add(request);
+                if (!answer(request, caller)) {
+                    return;
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            // The host has gone, or the target was closed.
+        }
+    }
+
+    private static Received read(InputStream in) throws IOException {
+        String head = readHead(in);
+        if (head.isEmpty()) {
+            return null;
+        }
+        BufferedReader lines = new BufferedReader(new InputStreamReader(
+                new java.io.ByteArrayInputStream(head.getBytes(StandardCharsets.ISO_8859_1)),
+                StandardCharsets.ISO_8859_1));
+        String[] first = lines.readLine().split(" ");
+        Map<String, String> headers = new TreeMap<>();
+        for (String line = lines.readLine(); line != null && !line.isEmpty(); line = lines.readLine()) {
+            int colon = line.indexOf(':');
+            headers.merge(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).trim(),
+                    (one, other) -> one + "," + other);
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        return new Received(
+                first[0], first[1], headers, new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+    }
+
+    private static String readHead(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        int next = in.read();
+        while (next >= 0) {
+            head.write(next);
+            if (head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+                return head.toString(StandardCharsets.ISO_8859_1);
+            }
+            next = in.read();
+        }
+        return "";
+    }
+
+    /** Answers a request; returns whether the connection stays open. */
+    private boolean answer(Received request, Socket caller) throws IOException, InterruptedException {
+        OutputStream out = caller.getOutputStream();
+        String id = request.header(HEADERS.requestId());
+        String script = request.path().substring(request.path().lastIndexOf('/') + 1);
+        if (sheds) {
+            write(out, "HTTP/1.1 503 Busy\r\n" + HEADERS.notRun() + ": 1\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        switch (script) {
+            case "hold" -> hold(caller, out, id, request);
+            case "wait" -> {
+                Thread.sleep(300);
+                write(out, whole(200, id, request.path()));
+            }
+            case "error" -> write(out, whole(500, id, "failed"));
+            case "misdirected" -> write(out, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+            case "twice" -> write(out, whole(200, id, "first") + whole(200, id, "second"));
+            case "late" -> {
+                write(out, whole(200, "an-earlier-id", "not for you") + whole(200, id, "for you"));
+            }
+            case "cut" -> {
+                write(out, "HTTP/1.1 200 OK\r\n" + HEADERS.requestId() + ": " + id
+                        + "\r\nContent-Length: 100\r\n\r\nhalf");
+                return false;
+            }
+            case "unframed" -> {
+                write(out, "HTTP/1.1 200 OK\r\n" + HEADERS.requestId() + ": " + id + "\r\n\r\nto the end");
+                return false;
+            }
+            case "unframed-reset" -> {
+                write(out, "HTTP/1.1 200 OK\r\n" + HEADERS.requestId() + ": " + id + "\r\n\r\nnot to the end");
+                Thread.sleep(50);
+                caller.setSoLinger(true, 0);
+                return false;
+            }
+            case "garbage" -> {
+                write(out, "\u0001\u0002 this is no answer\r\n\r\n");
+                return false;
+            }
+            case "drop" -> {
+                return false;
+            }
+            case "closes" -> {
+                write(out, whole(200, id, "bye").replaceFirst("\r\n", "\r\nConnection: close\r\n"));
+                return false;
+            }
+            default -> write(out, whole(200, id, request.method() + " " + request.path() + " " + request.body()));
+        }
+        return true;
+    }
+
+    private void hold(Socket caller, OutputStream out, String id, Received request)
+            throws IOException, InterruptedException {
+        caller.setSoTimeout(20);
+        while (held.getCount() > 0) {
+            try {
+                if (caller.getInputStream().read() < 0) {
+                    callersGone.incrementAndGet();
+                    throw new IOException("the host has gone");
+                }
+            } catch (java.net.SocketTimeoutException e) {
+                // Nothing came: the host still waits.
+            } catch (SocketException e) {
+                callersGone.incrementAndGet();
+                throw e;
+            }
+        }
+        caller.setSoTimeout(0);
+        write(out, whole(200, id, request.path()));
+    }
+
+    private static String whole(int status, String id, String body) {
+        return "HTTP/1.1 " + status + " S\r\n" + HEADERS.requestId() + ": " + id + "\r\n" + HEADERS.signature()
+                + ": signed\r\n" + HEADERS.load() + ": 1,0,5\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket caller : open) {
+            caller.close();
+        }
+    }
+}
