--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -23,7 +23,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.knapweedhatch.answer.Reason;
 import org.knapweedhatch.answer.Refusal;
 import org.knapweedhatch.world.CallerLimits;
@@ -37,9 +36,6 @@
     /** Requests that may be in progress on one connection; reading pauses beyond them. */
     private static final int MAX_PIPELINED = 32;
 
-    /** Time in which the loop reads what came after a request, in milliseconds. */
-    private static final long LOOK_MS = 3;
-
     private final FrontServer server;
     private final CallerLimits limits;
     private final Deque<CallerRequest> pending = new ArrayDeque<>();
@@ -149,7 +145,7 @@
     private void begin(CallerRequest request) {
         EventLoop loop = context.channel().eventLoop();
         if (server.lags()) {
-            loop.schedule(() -> request.received(loop), LOOK_MS, TimeUnit.MILLISECONDS);
+            server.later(() -> request.received(loop));
         } else {
             request.received(loop);
         }
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -172,6 +172,7 @@
         private final KnownTarget target;
         private final long begunNanos = context.time().nanos();
         private TargetConnection connection;
+        private boolean sending;
         private boolean over;
 
         Attempt(KnownTarget target) {
@@ -190,10 +191,23 @@
                 return;
             }
             connection = opened;
+            if (server.lags()) {
+                // The caller's leaving may wait to be read behind this event.
+                server.later(this::send);
+            } else {
+                send();
+            }
+        }
+
+        private void send() {
+            if (over) {
+                return;
+            }
             if (sent++ == 0) {
                 context.sentFirst(admitted.service());
             }
-            opened.send(forward(target), this);
+            sending = true;
+            connection.send(forward(target), this);
         }
 
         @Override
@@ -273,7 +287,7 @@
         }
 
         boolean isSent() {
-            return connection != null;
+            return sending;
         }
     }
 
