--- a/core/src/main/java/org/knapweedhatch/place/Placer.java
+++ b/core/src/main/java/org/knapweedhatch/place/Placer.java
@@ -39,8 +39,8 @@
 
     /** Sets the targets, and the services that say how many requests a cold target bears. */
     public void targets(List<KnownTarget> next, Map<String, Service> services) {
-        Map<String, List<KnownTarget>> byService =
-                next.stream().collect(Collectors.groupingBy(target -> target.target().service()));
+        Map<String, List<KnownTarget>> byService = next.stream()
+                .collect(Collectors.groupingBy(target -> target.target().service()));
         byService.keySet().forEach(service -> pools.computeIfAbsent(service, name -> new ServicePool(name, context)));
         pools.forEach((service, pool) -> {
             Service known = services.get(service);
@@ -57,7 +57,8 @@
 
     /** Chooses a target for a request. */
     public Placement place(Ask ask) {
-        return pools.computeIfAbsent(ask.service(), name -> new ServicePool(name, context)).place(ask);
+        return pools.computeIfAbsent(ask.service(), name -> new ServicePool(name, context))
+                .place(ask);
     }
 
     /** Takes in how a placed request ended; returns whether the target is back after it was unreachable. */
@@ -82,7 +83,8 @@
     public Map<Integer, Double> demand() {
         return pools.entrySet().stream()
                 .collect(Collectors.toUnmodifiableMap(
-                        entry -> Hashes.of(entry.getKey()), entry -> entry.getValue().demand()));
+                        entry -> Hashes.of(entry.getKey()),
+                        entry -> entry.getValue().demand()));
     }
 
     /** Returns the part of each service's objects that other regions serve. */
--- a/core/src/main/java/org/knapweedhatch/place/PlacerContext.java
+++ b/core/src/main/java/org/knapweedhatch/place/PlacerContext.java
@@ -32,6 +32,8 @@
     /** Returns how many hosts there are. */
     FleetSize fleet();
 
-    /** Returns the position of this host in a target's order of all hosts, from 0; the same on every host's reckoning. */
+    /**
+     * Returns the position of this host in a target's order of all hosts, from 0; the same on every host's reckoning.
+     */
     int rankFor(String target);
 }
--- a/core/src/main/java/org/knapweedhatch/place/RegionPlan.java
+++ b/core/src/main/java/org/knapweedhatch/place/RegionPlan.java
@@ -51,12 +51,7 @@
      * @param ownPart part of all demand that is assumed to arise here before it is measured
      */
     void move(
-            double ownDemand,
-            double allDemand,
-            double ownCapacity,
-            double allCapacity,
-            double ownPart,
-            long nowNanos) {
+            double ownDemand, double allDemand, double ownCapacity, double allCapacity, double ownPart, long nowNanos) {
         double most = (nowNanos - movedNanos) * perNano;
         movedNanos = nowNanos;
         if (allCapacity <= 0) {
--- a/core/src/main/java/org/knapweedhatch/place/ServicePool.java
+++ b/core/src/main/java/org/knapweedhatch/place/ServicePool.java
@@ -114,10 +114,7 @@
             if (passes(candidate.gauge(), now)) {
                 candidate.gauge().sent();
                 return new Placement.Sent(
-                        candidate.gauge().target(),
-                        candidate.busy(),
-                        (long) candidate.waitNanos(),
-                        candidates.size());
+                        candidate.gauge().target(), candidate.busy(), (long) candidate.waitNanos(), candidates.size());
             }
         }
         return new Placement.Refused(Cause.BUSY, retryAfter(candidates));
@@ -138,10 +135,8 @@
         double inAim = ask.inAim().toNanos();
         Comparator<Candidate> byPreference = Comparator.comparingInt(candidate -> candidate.preference(inAim));
         return candidates.stream()
-                .sorted(byPreference.thenComparingDouble(
-                        candidate -> candidate.preference(inAim) < Candidate.CROWDED
-                                ? candidate.rank()
-                                : candidate.forecastNanos()))
+                .sorted(byPreference.thenComparingDouble(candidate ->
+                        candidate.preference(inAim) < Candidate.CROWDED ? candidate.rank() : candidate.forecastNanos()))
                 .toList();
     }
 
@@ -160,8 +155,7 @@
     /** Returns the targets of the region that is to serve a request. */
     private List<Gauge> inRegion(Ask ask, List<Gauge> usable) {
         Map<String, List<Gauge>> byRegion = new HashMap<>();
-        usable.forEach(gauge -> byRegion
-                .computeIfAbsent(gauge.region(), region -> new ArrayList<>())
+        usable.forEach(gauge -> byRegion.computeIfAbsent(gauge.region(), region -> new ArrayList<>())
                 .add(gauge));
         List<Gauge> own = byRegion.getOrDefault(context.region(), List.of());
         if (byRegion.size() < 2) {
@@ -218,7 +212,8 @@
         boolean cold = gauge.target().isCold(now);
         double own = cold ? work.nanos(false) * COLD_FACTOR : work.nanos(known);
         double forecast = wait + own + context.distance(gauge.domain(), gauge.region());
-        return new Candidate(gauge, rank, busy, wait, forecast, cold || gauge.health().avoided(now));
+        return new Candidate(
+                gauge, rank, busy, wait, forecast, cold || gauge.health().avoided(now));
     }
 
     private int busy(Gauge gauge) {
@@ -235,8 +230,13 @@
         if (!gauge.target().isCold(now)) {
             return true;
         }
-        return gauge.coldGate().pass(
-                coldRate, context.terms(), context.fleet(), context.rankFor(gauge.target().name()), now);
+        return gauge.coldGate()
+                .pass(
+                        coldRate,
+                        context.terms(),
+                        context.fleet(),
+                        context.rankFor(gauge.target().name()),
+                        now);
     }
 
     /** Takes in how a request that was placed ended; returns whether the target is back after it was unreachable. */
@@ -261,7 +261,8 @@
         Map<String, Double> slots = new HashMap<>();
         open.forEach(gauge -> slots.merge(gauge.region(), (double) gauge.slots(), Double::sum));
         double perSlot = 1e9 / work.usualNanos();
-        double allSlots = slots.values().stream().mapToDouble(Double::doubleValue).sum();
+        double allSlots =
+                slots.values().stream().mapToDouble(Double::doubleValue).sum();
         Map<String, Double> demands = context.reports().serviceDemand(key);
         double here = demand.perSecond();
         double elsewhere =
@@ -294,6 +295,9 @@
 
     /** Returns the target with a name, where it is open to requests. */
     synchronized Optional<KnownTarget> openTarget(String name) {
-        return open.stream().map(Gauge::target).filter(t -> t.name().equals(name)).findFirst();
+        return open.stream()
+                .map(Gauge::target)
+                .filter(t -> t.name().equals(name))
+                .findFirst();
     }
 }
--- a/core/src/main/java/org/knapweedhatch/place/TargetHealth.java
+++ b/core/src/main/java/org/knapweedhatch/place/TargetHealth.java
@@ -53,7 +53,9 @@
             }
             case TIMED_OUT -> lost(nowNanos);
             case BROKEN -> count(1, nowNanos);
-            case CANCELLED -> {}
+            default -> {
+                // A cancelled request says nothing about its target.
+            }
         }
         return false;
     }
--- a/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
@@ -28,8 +28,9 @@
  *
  * <p>Hosts that hear each other share one bucket a team, whose level each of them reckons from what all report to have
  * spent. A host spends the part of what flows in, and of the level, that its own demand has in the demand of all; while
- * the bucket is more than half full it may run ahead of its part. The equal part of a host that is not heard is kept for it, and one that hears nobody holds itself to
- * its equal part: whoever is cut off, the parts sum to no more than the whole.
+ * the bucket is more than half full it may run ahead of its part. The equal part of a host that is not heard is kept
+ * for it, and one that hears nobody holds itself to its equal part: whoever is cut off, the parts sum to no more than
+ * the whole.
  *
  * <p>Safe for use by many threads.
  */
@@ -110,8 +111,7 @@
 
         /** Returns the size of the bucket: the rest of the burst, and what the terms allow besides. */
         double size() {
-            return (1 - BURST_AS_RATE) * contract.burst() * (1 + terms.rateOverage())
-                    + SLACK_USED * terms.rateSlack();
+            return (1 - BURST_AS_RATE) * contract.burst() * (1 + terms.rateOverage()) + SLACK_USED * terms.rateSlack();
         }
 
         void reckon(FleetSize size) {
@@ -129,7 +129,8 @@
             double left = left();
             double most = Math.max(0, part * (left + DEBT * size() * common));
             own = Math.min(most, own + flow * part);
-            boolean plenty = left > PLENTY * size() * common && reports.oldestAge().compareTo(LOAN_AGE) < 0;
+            boolean plenty =
+                    left > PLENTY * size() * common && reports.oldestAge().compareTo(LOAN_AGE) < 0;
             loan = plenty ? Math.min(left * MOST_LOAN, Math.max(LEAST_LOAN, left * LOAN)) / size.heard() : 0;
         }
 
--- a/core/src/main/java/org/knapweedhatch/report/ReportBook.java
+++ b/core/src/main/java/org/knapweedhatch/report/ReportBook.java
@@ -67,8 +67,7 @@
         long span = Math.max(1, time.nanos() - before.heardNanos());
         Map<Integer, Double> spending = new HashMap<>();
         after.teamSpent().forEach((team, spent) -> {
-            long news =
-                    Math.max(0, spent - before.report().teamSpent().getOrDefault(team, spent));
+            long news = Math.max(0, spent - before.report().teamSpent().getOrDefault(team, spent));
             spentElsewhere.merge(team, news, Long::sum);
             double known = before.spending().getOrDefault(team, (double) news / span);
             spending.put(team, known + SMOOTHING * ((double) news / span - known));
--- a/core/src/test/java/org/knapweedhatch/quota/ShareFleet.java
+++ b/core/src/test/java/org/knapweedhatch/quota/ShareFleet.java
@@ -51,7 +51,8 @@
 
         Node(int number) {
             this.number = number;
-            shares = TeamShares.of(TERMS, time, reports, () -> FleetSize.of(known, reports.heardHosts()), random::nextDouble);
+            shares = TeamShares.of(
+                    TERMS, time, reports, () -> FleetSize.of(known, reports.heardHosts()), random::nextDouble);
             shares.configure(List.of(team));
         }
     }
@@ -66,8 +67,7 @@
     private final Random random;
     private final int known;
     private final List<Node> nodes = new ArrayList<>();
-    private final PriorityQueue<Message> wire =
-            new PriorityQueue<>((a, b) -> Long.compare(a.dueNanos(), b.dueNanos()));
+    private final PriorityQueue<Message> wire = new PriorityQueue<>((a, b) -> Long.compare(a.dueNanos(), b.dueNanos()));
     private Team team;
     private long incarnations;
     private int steps;
--- a/core/src/test/java/org/knapweedhatch/quota/TeamSharesTest.java
+++ b/core/src/test/java/org/knapweedhatch/quota/TeamSharesTest.java
@@ -43,8 +43,10 @@
     void manyHostsHoldASmallTeamToTheTerms(double rate, long burst) {
         Contract contract = new Contract(rate, burst);
         int hosts = 73;
-        double[] quiet = IntStream.range(0, hosts).mapToDouble(i -> rate * 0.6 / hosts).toArray();
-        double[] hot = IntStream.range(0, hosts).mapToDouble(i -> rate * 7 / hosts).toArray();
+        double[] quiet =
+                IntStream.range(0, hosts).mapToDouble(i -> rate * 0.6 / hosts).toArray();
+        double[] hot =
+                IntStream.range(0, hosts).mapToDouble(i -> rate * 7 / hosts).toArray();
         for (long seed = 1; seed <= 4; seed++) {
             ShareFleet fleet = new ShareFleet(seed, hosts, contract);
             fleet.run(Duration.ofSeconds(8), quiet);
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -73,7 +73,6 @@
     /** Ticks of the peers between two reports to them: a quarter of a second. */
     private static final int REPORT_TICKS = 2;
 
-
     private final FrontSettings settings;
     private final TimeSource time;
     private final EventLog log;
@@ -110,7 +109,11 @@
         hosts = SeenHosts.of(time);
         reports = ReportBook.of(time);
         shares = TeamShares.of(
-                settings.terms(), time, reports, this::fleet, () -> ThreadLocalRandom.current().nextDouble());
+                settings.terms(),
+                time,
+                reports,
+                this::fleet,
+                () -> ThreadLocalRandom.current().nextDouble());
         retries = RetryAllowance.of(settings.terms(), this::fleet);
         placer = Placer.of(this);
         beliefs.onChange(this::believed);
@@ -220,7 +223,8 @@
     private void receive(String from, long incarnation, PeerMessage message) {
         View now = view;
         if (message instanceof HostReport report && now != null) {
-            String region = now.member(from).map(member -> member.host().region()).orElse("");
+            String region =
+                    now.member(from).map(member -> member.host().region()).orElse("");
             reports.heard(from, region, incarnation, report);
         }
     }
--- a/daemon/src/main/java/org/knapweedhatch/daemon/HostWatch.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/HostWatch.java
@@ -30,7 +30,9 @@
                         .put("peer", member.name())
                         .put("state", member.state().name())
                         .put("takesWork", member.takesWork())
-                        .put("before", before == null ? "unknown" : before.state().name())
+                        .put(
+                                "before",
+                                before == null ? "unknown" : before.state().name())
                         .put("incarnation", member.incarnation())
                         .put("configuration", member.configuration())
                         .write();
--- a/daemon/src/main/java/org/knapweedhatch/daemon/Rehearsal.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/Rehearsal.java
@@ -11,9 +11,19 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.log.EventLog;
+import org.knapweedhatch.message.HeaderScheme;
+import org.knapweedhatch.platform.Changes;
+import org.knapweedhatch.platform.Listing;
+import org.knapweedhatch.platform.StoredObject;
+import org.knapweedhatch.platform.store.Wire;
+import org.knapweedhatch.platform.wire.DirectoryAnswer;
+import org.knapweedhatch.platform.wire.ExampleEntries;
+import org.knapweedhatch.platform.wire.PlatformHeaders;
 import org.knapweedhatch.settings.FrontSettings;
 import org.knapweedhatch.world.Address;
 import org.knapweedhatch.world.Host;
@@ -22,20 +32,15 @@
 /**
  * Plays some requests through a host on loopback and ends.
  *
- * <p>The build runs it to record the classes that a host loads; with them in an archive, a process that is started
- * anew answers its first requests sooner.
+ * <p>The build runs it to record the classes that a host loads; with them in an archive, a process that is started anew
+ * answers its first requests sooner.
  */
 public final class Rehearsal {
 
     private static final int REQUESTS = 300;
     private static final Duration SETTLE = Duration.ofSeconds(3);
-    private static final String ROUTE = "{\"Name\":\"r\",\"Host\":\"a.example\",\"PathPrefix\":\"/a/\",\"Type\":\"%s\","
-            + "\"Timeout\":\"1s\",\"TargetLatency\":\"250ms\",\"Service\":\"s\",\"MaxAttempts\":2,\"Sticky\":true}";
-    private static final String CONFIGURATION = "{\"Version\":\"r1\",\"Routes\":[" + ROUTE.formatted("safe")
-            + "],\"Services\":[{\"Name\":\"s\",\"HealthPath\":\"/health\",\"MaxConns\":330,\"ColdStart\":\"3s\","
-            + "\"ColdPerS\":14.0}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":67108864,"
-            + "\"HeaderTimeout\":\"3s\",\"IdleTimeout\":\"15s\"},\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"rehearsal\"],"
-            + "\"RatePerS\":1000,\"Burst\":1000}]}";
+    private static final long VERSION = 1;
+    private static final String DOMAIN = "here-a";
 
     private final ServerSocket listener;
 
@@ -55,7 +60,7 @@
 
     private void play() throws IOException, InterruptedException {
         List<Address> addresses = freeAddresses(5);
-        Host host = new Host("rehearsal-1", "here", "here-a", addresses.get(0), addresses.get(1));
+        Host host = new Host("rehearsal-1", "here", DOMAIN, addresses.get(0), addresses.get(1));
         Host other = new Host("rehearsal-2", "here", "here-b", address(0), addresses.get(1));
         FrontSettings settings = new FrontSettings(
                 host,
@@ -66,7 +71,7 @@
                 address(listener.getLocalPort()),
                 Duration.ofSeconds(1),
                 "a-secret-of-the-rehearsal",
-                Map.of("here-a", "here"),
+                Map.of(DOMAIN, "here"),
                 Terms.usual());
         EventLog log = EventLog.start(OutputStream.nullOutputStream(), host.name(), TimeSource.system());
         FrontHost running = FrontHost.start(settings, log, TimeSource.system());
@@ -75,8 +80,8 @@
             call(host.edge(), "/a/" + i, "GET", "");
             call(host.edge(), "/a/" + i, "POST", "body");
         }
-        call(addresses.get(2), "/ready", "GET", "");
-        call(addresses.get(3), "/resolve?Name=a.example&Region=here&Zone=here-a", "GET", "");
+        call(addresses.get(2), DirectoryAnswer.READY_PATH, "GET", "");
+        call(addresses.get(3), DirectoryAnswer.LOOK_UP_PATH + "?" + DirectoryAnswer.DOMAIN + "=" + DOMAIN, "GET", "");
         call(addresses.get(4), "/-/metrics", "GET", "");
         running.stop();
         log.close();
@@ -102,10 +107,19 @@
 
     private static void call(Address address, String path, String method, String body) throws IOException {
         try (Socket socket = new Socket(address.ip(), address.port())) {
-            String head = method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Knapweedhatch-Attempt-Id: 1\r\n"
-                    + "X-Knapweedhatch-Key: rehearsal\r\nX-Knapweedhatch-Affinity-Key: o\r\n"
-                    + "X-Knapweedhatch-Deadline-Ms: 1000\r\nContent-Length: " + body.length()
-                    + "\r\nConnection: close\r\n\r\n" + body;
+            HeaderScheme names = PlatformHeaders.scheme();
+            String head = String.join(
+                    "\r\n",
+                    method + " " + path + " HTTP/1.1",
+                    "Host: " + ExampleEntries.HOST,
+                    names.requestId() + ": 1",
+                    names.key() + ": " + ExampleEntries.KEY,
+                    names.affinity() + ": o",
+                    names.deadlineMs() + ": 1000",
+                    "Content-Length: " + body.length(),
+                    "Connection: close",
+                    "",
+                    body);
             socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
             socket.getInputStream().readAllBytes();
         }
@@ -132,8 +146,9 @@
             for (String line = in.readLine(); line != null; line = in.readLine()) {
                 int length = 0;
                 for (String header = in.readLine(); header != null && !header.isEmpty(); header = in.readLine()) {
-                    if (header.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
-                        length = Integer.parseInt(header.substring(header.indexOf(':') + 1).trim());
+                    if (header.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                        length = Integer.parseInt(
+                                header.substring(header.indexOf(':') + 1).trim());
                     }
                 }
                 in.skip(length);
@@ -145,27 +160,28 @@
     }
 
     private void answer(String path, OutputStream out) throws IOException, InterruptedException {
-        String body = "answer";
-        if (path.contains("Watch=")) {
-            Thread.sleep(SETTLE.toMillis());
-            body = "{\"events\":[],\"AsOf\":3}";
-        } else if (path.startsWith("/objects/config")) {
-            body = items("{\"Metadata\":{\"Name\":\"main\",\"Revision\":1},\"Spec\":" + CONFIGURATION + "}");
-        } else if (path.startsWith("/objects/servers")) {
-            body = items("{\"Metadata\":{\"Name\":\"i-1\",\"Revision\":2},\"Spec\":{\"Address\":\""
-                    + address(listener.getLocalPort())
-                    + "\",\"Info\":{\"Service\":\"s\",\"Version\":\"v1\",\"Zone\":\"here-a\",\"Slots\":5},"
-                    + "\"Status\":{\"State\":\"ready\",\"Seq\":4,\"ColdRemaining\":\"0ms\"}}}");
-        } else if (path.startsWith("/objects/")) {
-            body = items("");
-        }
-        out.write(("HTTP/1.1 200 OK\r\nX-Knapweedhatch-Attempt-Id: 1\r\nX-Knapweedhatch-Server-Load: 1,0,5\r\n"
-                        + "Content-Length: " + body.length() + "\r\n\r\n" + body)
-                .getBytes(StandardCharsets.US_ASCII));
+        byte[] body = body(path);
+        HeaderScheme names = PlatformHeaders.scheme();
+        String head = "HTTP/1.1 200 OK\r\n" + names.requestId() + ": 1\r\n" + names.load() + ": 1,0,5\r\n"
+                + "Content-Length: " + body.length + "\r\n\r\n";
+        out.write(head.getBytes(StandardCharsets.US_ASCII));
+        out.write(body);
         out.flush();
     }
 
-    private static String items(String item) {
-        return "{\"items\":[" + item + "],\"More\":false,\"AsOf\":3}";
+    private byte[] body(String path) throws InterruptedException {
+        if (!path.startsWith(Wire.ROOT)) {
+            return "answer".getBytes(StandardCharsets.US_ASCII);
+        }
+        if (path.contains(Wire.WATCH + "=")) {
+            Thread.sleep(SETTLE.toMillis());
+            return Wire.write(Wire.changesNode(new Changes(List.of(), List.of(), VERSION)));
+        }
+        List<StoredObject> objects = Stream.of(
+                        ExampleEntries.configuration(VERSION, VERSION),
+                        ExampleEntries.target("i-1", VERSION, address(listener.getLocalPort()), DOMAIN))
+                .filter(object -> path.startsWith(Wire.ROOT + Wire.kind(object.name())))
+                .toList();
+        return Wire.writeListing(new Listing(objects, VERSION));
     }
 }
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -138,8 +138,7 @@
                 .handling()
                 .latencyTarget()
                 .minusNanos(context.time().nanos() - arrivedNanos);
-        return new Ask(
-                admitted.service(), object(), id, body.readableBytes(), admitted.regions(), tried, inAim, left);
+        return new Ask(admitted.service(), object(), id, body.readableBytes(), admitted.regions(), tried, inAim, left);
     }
 
     private String object() {
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerCodecs.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerCodecs.java
@@ -32,7 +32,13 @@
 
     /** Returns the codecs of every package. */
     public static PeerCodecs all() {
-        return of(new MemberCodec(), new LimitCodec(), new ConfigurationCodec(), new SteerCodec(), new ClaimCodec(), new ReportCodec());
+        return of(
+                new MemberCodec(),
+                new LimitCodec(),
+                new ConfigurationCodec(),
+                new SteerCodec(),
+                new ClaimCodec(),
+                new ReportCodec());
     }
 
     private void add(MessageKind<?> kind) {
--- a/daemon/src/main/java/org/knapweedhatch/store/Beliefs.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/Beliefs.java
@@ -135,10 +135,11 @@
     private void believe(Kind kind, Listing listing) {
         switch (kind) {
             case CONFIGURATION -> listing.objects().forEach(this::configure);
-            case TARGETS -> targets.replaceAll(listing.objects().stream()
-                    .flatMap(entry -> decode(entry).stream())
-                    .toList());
-            case EVACUATIONS -> evacuate(listing);
+            case TARGETS ->
+                targets.replaceAll(listing.objects().stream()
+                        .flatMap(entry -> decode(entry).stream())
+                        .toList());
+            default -> evacuate(listing);
         }
         heardOf.add(kind);
         publish();
@@ -264,7 +265,7 @@
                         newer.changed().forEach(entry -> decode(entry).ifPresent(targets::register));
                         newer.deleted().forEach(name -> targets.unregister(TargetEntry.nameOf(name)));
                     }
-                    case EVACUATIONS -> evacuate(held.get(kind).listing());
+                    default -> evacuate(held.get(kind).listing());
                 }
                 publish();
             }
--- a/daemon/src/main/java/org/knapweedhatch/store/HostRegistry.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/HostRegistry.java
@@ -89,9 +89,9 @@
         byte[] body = Wire.write(new ListedHost(self, false));
         Result<StoredObject> created = api.create(name, body);
         if (!created.isOk() && Problem.CONFLICT.is(created.fault())) {
-            created = api.read(name).then(old -> Arrays.equals(old.body(), body)
-                    ? Result.ok(old)
-                    : api.update(name, body, old.version()));
+            created = api.read(name)
+                    .then(old ->
+                            Arrays.equals(old.body(), body) ? Result.ok(old) : api.update(name, body, old.version()));
         }
         entered = created.isOk();
         if (!entered) {
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -94,7 +94,8 @@
         keys = keys.configure(configuration);
         List<KnownTarget> known = new ArrayList<>();
         for (int i = 0; i < targets.size(); i++) {
-            Target target = new Target("t" + i, "orders", "lima-a", targets.get(i).address(), 5, 330);
+            Target target =
+                    new Target("t" + i, "orders", "lima-a", targets.get(i).address(), 5, 330);
             known.add(new KnownTarget(target, "lima", 1, false, time.nanos()));
         }
         placer.targets(known, configuration.services());
@@ -158,9 +159,9 @@
             }
             int status = Integer.parseInt(head.substring(9, 12));
             Answer headOnly = new Answer(status, head.toString(), "");
-            int length = headOnly.header("content-length").map(Integer::parseInt).orElse(0);
-            return new Answer(
-                    status, head.toString(), new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+            int length =
+                    headOnly.header("content-length").map(Integer::parseInt).orElse(0);
+            return new Answer(status, head.toString(), new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
         }
 
         boolean ended() throws IOException {
@@ -185,7 +186,8 @@
     }
 
     static String request(String method, String path, String id, String extra, String body) {
-        return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\n" + HeaderScheme.own().key() + ": " + KEY + "\r\n"
+        return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\n"
+                + HeaderScheme.own().key() + ": " + KEY + "\r\n"
                 + HeaderScheme.own().requestId() + ": " + id + "\r\n" + extra
                 + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body;
     }
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
@@ -47,7 +47,8 @@
     }
 
     private ScriptedTarget.Received onlyReceived() {
-        List<ScriptedTarget.Received> all = new java.util.ArrayList<>(front.target(0).received());
+        List<ScriptedTarget.Received> all =
+                new java.util.ArrayList<>(front.target(0).received());
         all.addAll(front.target(1).received());
         assertEquals(1, all.size());
         return all.get(0);
@@ -55,7 +56,8 @@
 
     @Test
     void aRequestGoesToATargetUnchangedAndItsAnswerComesBackUnchanged() throws IOException {
-        FrontFixture.Answer answer = front.call(FrontFixture.request("POST", "/once/a%20b?q=1&r", "id-7", "X-Own: 5\r\n", "data"));
+        FrontFixture.Answer answer =
+                front.call(FrontFixture.request("POST", "/once/a%20b?q=1&r", "id-7", "X-Own: 5\r\n", "data"));
         assertEquals(200, answer.status());
         assertEquals("POST /once/a%20b?q=1&r data", answer.body());
         assertEquals(Optional.of("signed"), answer.header(HEADERS.signature()));
@@ -68,7 +70,8 @@
 
     @Test
     void noTargetSeesTheKeyNorHeadersThatOnlyHostsSet() throws IOException {
-        String forged = HEADERS.team() + ": other\r\n" + HEADERS.expectedTarget() + ": t9\r\nConnection: X-Hop\r\nX-Hop: 1\r\n";
+        String forged =
+                HEADERS.team() + ": other\r\n" + HEADERS.expectedTarget() + ": t9\r\nConnection: X-Hop\r\nX-Hop: 1\r\n";
         front.call(FrontFixture.request("GET", "/safe/a", "id-1", forged, ""));
         ScriptedTarget.Received received = onlyReceived();
         assertNull(received.header(HEADERS.key()));
@@ -109,8 +112,9 @@
 
     @Test
     void chunkedBodiesArriveWhole() throws IOException {
-        String chunked = "POST /once/c HTTP/1.1\r\nHost: a.example\r\n" + HEADERS.key() + ": " + FrontFixture.KEY + "\r\n"
-                + HEADERS.requestId() + ": id-1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        String chunked = "POST /once/c HTTP/1.1\r\nHost: a.example\r\n" + HEADERS.key() + ": " + FrontFixture.KEY
+                + "\r\n" + HEADERS.requestId()
+                + ": id-1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
         assertEquals("POST /once/c abcde", front.call(chunked).body());
     }
 
@@ -128,10 +132,21 @@
     @Test
     void unknownPathsAndKeysAreRefusedAndNothingIsSent() throws IOException {
         assertEquals(404, front.call(get("/none/a", "1")).status());
-        assertEquals(404, front.call(get("/safe/a", "1").replace("a.example", "b.example")).status());
-        assertEquals(401, front.call(get("/safe/a", "1").replace(FrontFixture.KEY, "wrong-key-1")).status());
-        assertEquals(401, front.call(get("/safe/a", "1").replace(HEADERS.key(), "X-Other")).status());
-        assertEquals(0, front.target(0).received().size() + front.target(1).received().size());
+        assertEquals(
+                404,
+                front.call(get("/safe/a", "1").replace("a.example", "b.example"))
+                        .status());
+        assertEquals(
+                401,
+                front.call(get("/safe/a", "1").replace(FrontFixture.KEY, "wrong-key-1"))
+                        .status());
+        assertEquals(
+                401,
+                front.call(get("/safe/a", "1").replace(HEADERS.key(), "X-Other"))
+                        .status());
+        assertEquals(
+                0,
+                front.target(0).received().size() + front.target(1).received().size());
     }
 
     @Test
@@ -268,10 +283,16 @@
 
     @Test
     void aRequestEndsAtItsRoutesTimeout() throws IOException {
-        Handling hasty = new Handling(
-                RequestKind.NON_IDEMPOTENT, Duration.ofMillis(200), Duration.ofMillis(100), 2, 0, false);
+        Handling hasty =
+                new Handling(RequestKind.NON_IDEMPOTENT, Duration.ofMillis(200), Duration.ofMillis(100), 2, 0, false);
         front.configure(builder -> builder.route(new Route(
-                "hasty", "a.example", "/hasty/", List.of(new Destination("orders", 1)), Access.KEYED, hasty, Set.of())));
+                "hasty",
+                "a.example",
+                "/hasty/",
+                List.of(new Destination("orders", 1)),
+                Access.KEYED,
+                hasty,
+                Set.of())));
         FrontFixture.Answer answer = front.call("POST", "/hasty/hold");
         assertEquals(504, answer.status());
         assertEquals(Optional.of(HeaderNames.UNKNOWN), answer.header(HeaderNames.OUTCOME));
@@ -303,19 +324,27 @@
 
     @Test
     void whatIsLargerThanCallersMaySendIsRefused() throws IOException {
-        front.configure(builder -> builder.callerLimits(
-                new CallerLimits(2_000, 10, Duration.ofSeconds(1), Duration.ofSeconds(5))));
+        front.configure(builder ->
+                builder.callerLimits(new CallerLimits(2_000, 10, Duration.ofSeconds(1), Duration.ofSeconds(5))));
         String head = "X-Long: " + "a".repeat(3_000) + "\r\n";
-        assertEquals(431, front.call(FrontFixture.request("GET", "/safe/a", "1", head, "")).status());
-        assertEquals(413, front.call(FrontFixture.request("POST", "/once/a", "1", "", "more than ten")).status());
+        assertEquals(
+                431,
+                front.call(FrontFixture.request("GET", "/safe/a", "1", head, ""))
+                        .status());
+        assertEquals(
+                413,
+                front.call(FrontFixture.request("POST", "/once/a", "1", "", "more than ten"))
+                        .status());
         assertEquals(400, front.call("this is no request\r\n\r\n").status());
-        assertEquals(0, front.target(0).received().size() + front.target(1).received().size());
+        assertEquals(
+                0,
+                front.target(0).received().size() + front.target(1).received().size());
     }
 
     @Test
     void aHeadThatComesTooSlowlyIsGivenUp() throws IOException {
-        front.configure(builder -> builder.callerLimits(
-                new CallerLimits(2_000, 10, Duration.ofMillis(200), Duration.ofSeconds(5))));
+        front.configure(builder ->
+                builder.callerLimits(new CallerLimits(2_000, 10, Duration.ofMillis(200), Duration.ofSeconds(5))));
         try (FrontFixture.Caller caller = front.new Caller()) {
             caller.send("GET /safe/a HTTP/1.1\r\nHost: a.exam");
             assertEquals(408, caller.read().status());
@@ -334,8 +363,10 @@
     @Test
     void theWayOfARequestIsLoggedUnderItsId() throws IOException {
         front.call(FrontFixture.request("POST", "/once/drop", "id-to-find", "", "x"));
-        List<String> lines =
-                front.logged().lines().filter(line -> line.contains("id-to-find")).toList();
+        List<String> lines = front.logged()
+                .lines()
+                .filter(line -> line.contains("id-to-find"))
+                .toList();
         assertTrue(lines.get(0).contains("\"event\":\"sent\""), lines.toString());
         assertTrue(lines.get(1).contains("\"event\":\"attempt\""), lines.toString());
         assertTrue(lines.get(1).contains("the target closed the connection"), lines.toString());
--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -167,8 +167,10 @@
                 write(out, whole(200, "an-earlier-id", "not for you") + whole(200, id, "for you"));
             }
             case "cut" -> {
-                write(out, "HTTP/1.1 200 OK\r\n" + HEADERS.requestId() + ": " + id
-                        + "\r\nContent-Length: 100\r\n\r\nhalf");
+                write(
+                        out,
+                        "HTTP/1.1 200 OK\r\n" + HEADERS.requestId() + ": " + id
+                                + "\r\nContent-Length: 100\r\n\r\nhalf");
                 return false;
             }
             case "unframed" -> {
--- a/daemon/src/test/java/org/knapweedhatch/store/BeliefsTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/BeliefsTest.java
@@ -22,19 +22,17 @@
 import org.knapweedhatch.platform.Changes;
 import org.knapweedhatch.platform.Listing;
 import org.knapweedhatch.platform.StoredObject;
+import org.knapweedhatch.platform.wire.EvacuationEntry;
+import org.knapweedhatch.platform.wire.ExampleEntries;
+import org.knapweedhatch.platform.wire.TargetEntry;
 import org.knapweedhatch.target.KnownTarget;
+import org.knapweedhatch.world.Address;
 
 class BeliefsTest {
 
-    private static final String CONFIGURATION = "{\"Version\":\"r%d\",\"Routes\":[],\"Services\":[{\"Name\":\"orders\","
-            + "\"HealthPath\":\"/health\",\"MaxConns\":330,\"ColdStart\":\"3s\",\"ColdPerS\":14.0}]}";
-    private static final String TARGET = "{\"Address\":\"10.0.0.%d:80\",\"Info\":{\"Service\":\"orders\",\"Version\":\"v1\","
-            + "\"Zone\":\"%s\",\"Slots\":5},\"Status\":{\"State\":\"ready\",\"Seq\":4,\"ColdRemaining\":\"0ms\"},\"born\":7}";
-
     private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
     private final EventLog log = EventLog.start(OutputStream.nullOutputStream(), "test", time);
-    private final Beliefs beliefs =
-            Beliefs.of(Map.of("lima-a", "lima", "lima-b", "lima"), time, log);
+    private final Beliefs beliefs = Beliefs.of(Map.of("lima-a", "lima", "lima-b", "lima"), time, log);
 
     @AfterEach
     void stop() {
@@ -46,11 +44,12 @@
     }
 
     private static StoredObject configuration(long version, int number) {
-        return object("config/main", version, CONFIGURATION.formatted(number));
+        return ExampleEntries.configuration(number, version);
     }
 
     private static StoredObject target(String name, long version, String domain) {
-        return object("servers/" + name, version, TARGET.formatted(version % 200 + 1, domain));
+        Address address = new Address("10.0.0." + (version % 200 + 1), 80);
+        return ExampleEntries.target(name, version, address, domain);
     }
 
     private void list(Kind kind, long asOf, StoredObject... objects) {
@@ -81,9 +80,9 @@
     void anEvacuatedDomainIsClosedUntilItIsTakenBackAndColdThen() {
         list(Kind.CONFIGURATION, 3, configuration(2, 1));
         list(Kind.TARGETS, 4, target("i-1", 3, "lima-a"), target("i-2", 4, "lima-b"));
-        list(Kind.EVACUATIONS, 4, object("evacuations/lima-a", 4, "{}"));
+        list(Kind.EVACUATIONS, 4, object(EvacuationEntry.PREFIX + "lima-a", 4, "{}"));
         assertEquals(List.of("i-2"), openTargets());
-        change(Kind.EVACUATIONS, 9, List.of(), List.of("evacuations/lima-a"));
+        change(Kind.EVACUATIONS, 9, List.of(), List.of(EvacuationEntry.PREFIX + "lima-a"));
         assertEquals(List.of("i-1", "i-2"), openTargets());
         assertTrue(beliefs.targets().get(0).isCold(time.nanos()));
         assertFalse(beliefs.targets().get(1).isCold(time.nanos()));
@@ -102,7 +101,7 @@
     @Test
     void anEntryThatCannotBeReadNamesNoTargetAndTheOthersHold() {
         list(Kind.CONFIGURATION, 3, configuration(2, 1));
-        list(Kind.TARGETS, 4, target("i-1", 3, "lima-a"), object("servers/i-2", 4, "{\"Info\":7}"));
+        list(Kind.TARGETS, 4, target("i-1", 3, "lima-a"), object(TargetEntry.PREFIX + "i-2", 4, "{}"));
         assertEquals(List.of("i-1"), openTargets());
     }
 
@@ -111,7 +110,7 @@
         list(Kind.CONFIGURATION, 3, configuration(2, 1));
         list(Kind.TARGETS, 4, target("i-1", 3, "lima-a"), target("i-2", 4, "lima-b"));
         KindFeed.Sink sink = beliefs.sink(Kind.TARGETS);
-        sink.failed(Fault.at(Step.PLATFORM, "servers/", "down"));
+        sink.failed(Fault.at(Step.PLATFORM, TargetEntry.PREFIX, "down"));
         time.advance(Duration.ofSeconds(10));
         sink.regained();
         sink.listed(new Listing(List.of(), 8));
@@ -127,7 +126,7 @@
     void aHostThatTheStoreTurnsAwayLearnsFromAnother() {
         list(Kind.CONFIGURATION, 3, configuration(2, 1));
         list(Kind.TARGETS, 4, target("i-1", 3, "lima-a"));
-        beliefs.sink(Kind.TARGETS).failed(Fault.at(Step.PLATFORM, "servers/", "status 503"));
+        beliefs.sink(Kind.TARGETS).failed(Fault.at(Step.PLATFORM, TargetEntry.PREFIX, "status 503"));
         beliefs.heard(Kind.TARGETS, "lima-b-1", new Listing(List.of(target("i-9", 8, "lima-b")), 8), 8);
         time.advance(Duration.ofSeconds(3));
         beliefs.tick();
@@ -156,7 +155,7 @@
             chilling.start();
             go.countDown();
             boolean evacuated = round % 2 == 0;
-            StoredObject entry = object("evacuations/lima-a", asOf, "{}");
+            StoredObject entry = object(EvacuationEntry.PREFIX + "lima-a", asOf, "{}");
             change(
                     Kind.EVACUATIONS,
                     asOf,
--- a/standin/src/main/java/org/knapweedhatch/standin/ObjectPages.java
+++ b/standin/src/main/java/org/knapweedhatch/standin/ObjectPages.java
@@ -2,8 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -95,10 +93,8 @@
                 .filter(object ->
                         after.isEmpty() || Wire.nameInKind(object.name()).compareTo(after.get()) > 0)
                 .toList();
-        ObjectNode page = JSON.createObjectNode();
-        ArrayNode items = page.putArray("items");
-        rest.stream().limit(PAGE).forEach(object -> items.add(node(object)));
-        return page.put("More", rest.size() > PAGE).put("AsOf", listing.asOf());
+        Listing page = new Listing(rest.stream().limit(PAGE).toList(), listing.asOf());
+        return Wire.listingNode(page, rest.size() > PAGE);
     }
 
     private void watch(HttpServerExchange exchange, String kind) throws IOException {
@@ -110,17 +106,14 @@
     }
 
     private static JsonNode events(String kind, Changes changes) {
-        ObjectNode page = JSON.createObjectNode();
-        ArrayNode events = page.putArray("events");
-        changes.changed().stream()
-                .filter(object -> Wire.kind(object.name()).equals(kind))
-                .forEach(object -> events.addObject().put("Deleted", false).set("Object", node(object)));
-        changes.deleted().stream().filter(name -> Wire.kind(name).equals(kind)).forEach(name -> {
-            ObjectNode gone = JSON.createObjectNode();
-            gone.putObject("Metadata").put("Name", Wire.nameInKind(name)).put("Revision", changes.asOf());
-            events.addObject().put("Deleted", true).set("Object", gone);
-        });
-        return page.put("AsOf", changes.asOf());
+        return Wire.changesNode(new Changes(
+                changes.changed().stream()
+                        .filter(object -> Wire.kind(object.name()).equals(kind))
+                        .toList(),
+                changes.deleted().stream()
+                        .filter(name -> Wire.kind(name).equals(kind))
+                        .toList(),
+                changes.asOf()));
     }
 
     private void create(HttpServerExchange exchange, String kind) throws IOException {
@@ -129,17 +122,17 @@
             refuse(exchange, StatusCodes.BAD_REQUEST, "the object has no name");
         } else {
             StoredObject object = written.get();
-            answer(exchange, platform.create(object.name(), object.body()), ObjectPages::node);
+            answer(exchange, platform.create(object.name(), object.body()), Wire::objectNode);
         }
     }
 
     private void object(HttpServerExchange exchange, String name) throws IOException {
         switch (exchange.getRequestMethod().toString()) {
-            case "GET" -> answer(exchange, platform.read(name), ObjectPages::node);
+            case "GET" -> answer(exchange, platform.read(name), Wire::objectNode);
             case "PUT" -> replace(exchange, name);
             case "DELETE" -> {
                 long version = number(parameter(exchange, Wire.VERSION).orElse(""));
-                answer(exchange, platform.delete(name, version), deleted -> deletion(name, deleted));
+                answer(exchange, platform.delete(name, version), deleted -> Wire.deletedNode(name, deleted));
             }
             default -> refuse(exchange, StatusCodes.METHOD_NOT_ALLOWED, "an object takes GET, PUT and DELETE");
         }
@@ -152,7 +145,7 @@
             return;
         }
         StoredObject object = written.get();
-        answer(exchange, platform.update(name, object.body(), object.version()), ObjectPages::node);
+        answer(exchange, platform.update(name, object.body(), object.version()), Wire::objectNode);
     }
 
     /** Reads a written object; its version is the one that the write expects, or -1 where it states none. */
@@ -164,26 +157,7 @@
             // Bytes that are no JSON name no object; the caller is told so.
             return Optional.empty();
         }
-        if (tree.path("Metadata") instanceof ObjectNode metadata && !metadata.has(Wire.VERSION)) {
-            metadata.put(Wire.VERSION, -1);
-        }
-        return Wire.object(kind, tree);
-    }
-
-    private static JsonNode node(StoredObject object) {
-        try {
-            JsonNode tree = Wire.tree(Wire.writeObject(object.name(), object.version(), object.body()));
-            ((ObjectNode) tree.path("Metadata")).put("Deleting", false).putArray("Finalizers");
-            return tree;
-        } catch (IOException e) {
-            throw new IllegalStateException("what was written is read", e);
-        }
-    }
-
-    private static JsonNode deletion(String name, long version) {
-        ObjectNode node = JSON.createObjectNode();
-        node.putObject("Metadata").put("Name", Wire.nameInKind(name)).put(Wire.VERSION, version);
-        return node;
+        return Wire.written(kind, tree);
     }
 
     /** Turns a result into the JSON of a page. */
