--- a/daemon/src/main/java/org/knapweedhatch/admin/Metrics.java
+++ b/daemon/src/main/java/org/knapweedhatch/admin/Metrics.java
@@ -2,11 +2,14 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.knapweedhatch.answer.Reason;
 
 /**
@@ -22,6 +25,14 @@
 
     private static final String PREFIX = "knapweedhatch_";
 
+    /**
+     * Upper bounds of latency buckets: around the latency targets of requests, 80 ms to 600 ms, and their time-outs.
+     */
+    private static final Duration[] BUCKETS = IntStream.of(
+                    10, 25, 50, 80, 100, 150, 200, 250, 300, 400, 600, 1_000, 2_000, 5_000)
+            .mapToObj(Duration::ofMillis)
+            .toArray(Duration[]::new);
+
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<Reason, Counter> refusals = new ConcurrentHashMap<>();
 
@@ -43,6 +54,15 @@
                 .increment();
     }
 
+    /** Returns the histogram of a latency; tags are names and values in turn. */
+    public Timer timer(String name, String description, String... tags) {
+        return Timer.builder(PREFIX + name)
+                .description(description)
+                .tags(tags)
+                .serviceLevelObjectives(BUCKETS)
+                .register(registry);
+    }
+
     /** Shows a value that is read when the metrics are scraped. */
     public void gauge(String name, String description, Supplier<Number> value) {
         Gauge.builder(PREFIX + name, value).description(description).register(registry);
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -13,6 +13,7 @@
 import org.knapweedhatch.fleet.Peers;
 import org.knapweedhatch.front.FrontContext;
 import org.knapweedhatch.front.FrontServer;
+import org.knapweedhatch.front.RequestMeters;
 import org.knapweedhatch.http.HttpCaller;
 import org.knapweedhatch.key.KeyRing;
 import org.knapweedhatch.log.EventLog;
@@ -24,7 +25,6 @@
 import org.knapweedhatch.message.PeerMessage;
 import org.knapweedhatch.place.Placer;
 import org.knapweedhatch.place.PlacerContext;
-import org.knapweedhatch.platform.ObjectApi;
 import org.knapweedhatch.platform.store.HttpPlatform;
 import org.knapweedhatch.platform.wire.PlatformHeaders;
 import org.knapweedhatch.quota.FleetSize;
@@ -85,6 +85,7 @@
     private final PeerNews news;
     private final Placer placer;
     private final Metrics metrics = Metrics.create();
+    private final RequestMeters meters = RequestMeters.of(metrics);
     private final HttpCaller caller = HttpCaller.create();
     private final Peers peers;
     private final FrontServer server;
@@ -128,12 +129,13 @@
         news = new PeerNews(beliefs, reports, peers::fetch, time, log);
         started = true;
         directory = Directory.of(peers.view());
-        ObjectApi store = HttpPlatform.create(caller, URI.create("http://" + settings.platform()), "");
+        HttpPlatform store = HttpPlatform.create(caller, URI.create("http://" + settings.platform()), "");
         feeds = Arrays.stream(Kind.values())
                 .map(kind -> KindFeed.start(store, kind.prefix(), beliefs.sink(kind)))
                 .toList();
         registry = HostRegistry.start(store, self, peers, log);
         server = FrontServer.of(this);
+        registerGauges(store);
         Admin admin = Admin.builder()
                 .page("/-/live", query -> Admin.Reply.text(200, "live\n"))
                 .page("/-/metrics", query -> Admin.Reply.text(200, metrics.scrape()))
@@ -153,6 +155,36 @@
         return host;
     }
 
+    private void registerGauges(HttpPlatform store) {
+        metrics.gauge(
+                "configuration",
+                "Number of the configuration in force",
+                () -> beliefs.configuration().number());
+        metrics.gauge(
+                "targets", "Targets that are known", () -> beliefs.targets().size());
+        metrics.gauge("members", "Hosts that this host knows", () -> hosts.count());
+        metrics.gauge("hosts_heard", "Hosts whose reports are fresh", reports::heardHosts);
+        metrics.gauge("caller_connections", "Open connections of callers", server::openConnections);
+        metrics.gauge("log_lines", "Log lines written since the start", log::written);
+        metrics.gauge("log_lines_dropped", "Log lines left out since the start", log::dropped);
+        metrics.gauge(
+                "store_reads",
+                "Reads of the store since the start",
+                () -> store.counts().reads());
+        metrics.gauge(
+                "store_lists",
+                "Lists of the store since the start",
+                () -> store.counts().lists());
+        metrics.gauge(
+                "store_watches",
+                "Watches of the store since the start",
+                () -> store.counts().watches());
+        metrics.gauge(
+                "store_writes",
+                "Writes to the store since the start",
+                () -> store.counts().writes());
+    }
+
     private void viewed(View next) {
         view = next;
         watch.seen(next);
@@ -303,6 +335,11 @@
         return log;
     }
 
+    @Override
+    public RequestMeters meters() {
+        return meters;
+    }
+
     @Override
     public HeaderScheme headers() {
         return PlatformHeaders.scheme();
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.knapweedhatch.answer.Outcome;
 import org.knapweedhatch.answer.Reason;
 import org.knapweedhatch.answer.Refusal;
 import org.knapweedhatch.log.EventLog;
@@ -262,7 +263,9 @@
 
         private void end(Ending ending) {
             over = true;
-            if (context.placer().ended(target, object(), ending, context.time().nanos() - begunNanos)) {
+            long tookNanos = context.time().nanos() - begunNanos;
+            context.meters().attempt(admitted.service(), ending, tookNanos);
+            if (context.placer().ended(target, object(), ending, tookNanos)) {
                 context.targetIsBack(target.name());
             }
         }
@@ -345,6 +348,7 @@
                 .putNanos("targetMs", targetNanos)
                 .write();
         HttpHeaders headers = server.forwardHeaders().toCaller(received.headers());
+        context.meters().answered(admitted.service(), received.status().code(), ageNanos());
         complete(new Answer(received.status().code(), headers, received.body()));
     }
 
@@ -354,14 +358,23 @@
         }
         boolean notRun = refusal.status() == 503 || refusal.status() == 429;
         Reason reason = mayHaveRun && notRun ? Reason.LOST : refusal.reason();
-        line(reason.outcome() == org.knapweedhatch.answer.Outcome.NOT_RUN ? LineKind.REFUSED : LineKind.FAILED)
+        line(reason.outcome() == Outcome.NOT_RUN ? LineKind.REFUSED : LineKind.FAILED)
                 .put("reason", reason.name())
                 .put("refusedTeam", admitted == null ? team : null)
                 .put("sent", sent)
                 .write();
+        countEnded(reason);
         complete(OwnAnswers.of(reason, refusal.retry(), id, context.headers()));
     }
 
+    private void countEnded(Reason reason) {
+        context.meters().ended(admitted == null ? "" : admitted.service(), reason, ageNanos());
+    }
+
+    private long ageNanos() {
+        return context.time().nanos() - arrivedNanos;
+    }
+
     private EventLog.Line line(LineKind kind) {
         EventLog.Line line = context.log().line(kind).put("request", id);
         if (admitted != null) {
@@ -369,7 +382,7 @@
             line.put("team", admitted.team());
             line.put("object", head.headers().get(context.headers().affinity()));
         }
-        return line.putNanos("afterMs", context.time().nanos() - arrivedNanos)
+        return line.putNanos("afterMs", ageNanos())
                 .put("configuration", context.configuration().number());
     }
 
@@ -401,6 +414,7 @@
             finish();
             return;
         }
+        countEnded(Reason.CALLER_GONE);
         line(LineKind.FAILED)
                 .put("reason", Reason.CALLER_GONE.name())
                 .put("sent", sent)
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
@@ -18,6 +18,9 @@
     /** Returns the log. */
     EventLog log();
 
+    /** Returns the meters of requests. */
+    RequestMeters meters();
+
     /** Returns the names of headers. */
     HeaderScheme headers();
 
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
+import org.knapweedhatch.admin.Metrics;
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.helper.Digests;
 import org.knapweedhatch.key.KeyRing;
@@ -54,6 +55,8 @@
     private final ReportBook reports = ReportBook.of(time);
     private final Placer placer = Placer.of(this);
     private final List<ScriptedTarget> targets = new ArrayList<>();
+    private final Metrics metrics = Metrics.create();
+    private final RequestMeters meters = RequestMeters.of(metrics);
     private final FrontServer server;
     private final Address address;
     private volatile Configuration configuration = Configuration.empty();
@@ -126,6 +129,15 @@
         leaving = true;
     }
 
+    @Override
+    public RequestMeters meters() {
+        return meters;
+    }
+
+    Metrics metrics() {
+        return metrics;
+    }
+
     String logged() throws IOException {
         log.close();
         return lines.toString(StandardCharsets.UTF_8);
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
@@ -68,6 +68,22 @@
         assertEquals("crew-1", received.header(HEADERS.team()));
     }
 
+    @Test
+    void metricsCountAnswersRefusalsAndAttempts() throws IOException {
+        front.call("GET", "/safe/a");
+        front.call("GET", "/nowhere/a");
+        String metrics = front.metrics().scrape();
+        assertTrue(
+                metrics.contains("knapweedhatch_request_seconds_count{outcome=\"2xx\",service=\"orders\"} 1"), metrics);
+        assertTrue(
+                metrics.contains("knapweedhatch_request_seconds_bucket{outcome=\"2xx\",service=\"orders\",le="),
+                metrics);
+        assertTrue(
+                metrics.contains("knapweedhatch_attempt_seconds_count{ending=\"answered\",service=\"orders\"} 1"),
+                metrics);
+        assertTrue(metrics.contains("knapweedhatch_refused_total{reason=\"NO_ROUTE\"} 1"), metrics);
+    }
+
     @Test
     void noTargetSeesTheKeyNorHeadersThatOnlyHostsSet() throws IOException {
         String forged =
