--- a/core/src/main/java/org/knapweedhatch/place/RegionPlan.java
+++ b/core/src/main/java/org/knapweedhatch/place/RegionPlan.java
@@ -1,6 +1,7 @@
 package org.knapweedhatch.place;
 
 import java.time.Duration;
+import java.util.function.DoubleSupplier;
 
 /**
  * Which part of a service's objects is served by targets of other regions, because the own region's targets carry less
@@ -31,13 +32,13 @@
     /** Part of the bound that one service uses; callers that move between regions take the rest. */
     private static final double USED = 0.4;
 
-    private final double perNano;
+    private final DoubleSupplier shiftPerWindow;
     private double share;
     private long movedNanos;
     private boolean measured;
 
-    RegionPlan(double shiftPerWindow, long nowNanos) {
-        perNano = shiftPerWindow * USED / SHIFT_WINDOW_NANOS;
+    RegionPlan(DoubleSupplier shiftPerWindow, long nowNanos) {
+        this.shiftPerWindow = shiftPerWindow;
         movedNanos = nowNanos;
     }
 
@@ -52,7 +53,7 @@
      */
     void move(
             double ownDemand, double allDemand, double ownCapacity, double allCapacity, double ownPart, long nowNanos) {
-        double most = (nowNanos - movedNanos) * perNano;
+        double most = (nowNanos - movedNanos) * shiftPerWindow.getAsDouble() * USED / SHIFT_WINDOW_NANOS;
         movedNanos = nowNanos;
         if (allCapacity <= 0) {
             return;
--- a/core/src/main/java/org/knapweedhatch/place/ServicePool.java
+++ b/core/src/main/java/org/knapweedhatch/place/ServicePool.java
@@ -67,7 +67,8 @@
         this.context = context;
         key = Hashes.of(service);
         demand = DemandMeter.of(context.time(), DEMAND_SPAN);
-        away = new RegionPlan(context.terms().regionShift(), context.time().nanos());
+        away = new RegionPlan(
+                () -> context.terms().regionShift(), context.time().nanos());
     }
 
     /** Sets the targets; what is known of those that stay is kept. */
--- a/core/src/main/java/org/knapweedhatch/quota/RetryAllowance.java
+++ b/core/src/main/java/org/knapweedhatch/quota/RetryAllowance.java
@@ -16,23 +16,27 @@
     /** Part of the terms that is used; callers' requests that never arrive and late answers take the rest. */
     private static final double USED = 0.8;
 
-    private final Terms terms;
+    private final Supplier<Terms> terms;
     private final Supplier<FleetSize> fleet;
     private final Map<String, Double> saved = new HashMap<>();
 
-    private RetryAllowance(Terms terms, Supplier<FleetSize> fleet) {
+    private RetryAllowance(Supplier<Terms> terms, Supplier<FleetSize> fleet) {
         this.terms = terms;
         this.fleet = fleet;
     }
 
     /** Creates an allowance under some terms. */
-    public static RetryAllowance of(Terms terms, Supplier<FleetSize> fleet) {
+    public static RetryAllowance of(Supplier<Terms> terms, Supplier<FleetSize> fleet) {
         return new RetryAllowance(terms, fleet);
     }
 
     /** Counts a request that is sent to a service for the first time. */
     public synchronized void earn(String service) {
-        saved.put(service, Math.min(most(), saved.getOrDefault(service, most()) + USED * terms.retryShare()));
+        saved.put(
+                service,
+                Math.min(
+                        most(),
+                        saved.getOrDefault(service, most()) + USED * terms.get().retryShare()));
     }
 
     /** Takes one retry; returns false, and takes nothing, where there is none left. */
@@ -47,6 +51,6 @@
 
     /** Returns the retries that may be saved up; over all hosts they are what the terms allow at once. */
     private double most() {
-        return Math.max(1, USED * terms.retrySlack() / fleet.get().hosts());
+        return Math.max(1, USED * terms.get().retrySlack() / fleet.get().hosts());
     }
 }
--- a/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
@@ -75,7 +75,7 @@
     /** Demand below this is not worth its bytes in a report. */
     private static final double LEAST_REPORTED = 0.02;
 
-    private final Terms terms;
+    private final Supplier<Terms> terms;
     private final TimeSource time;
     private final ReportBook reports;
     private final Supplier<FleetSize> fleet;
@@ -104,14 +104,15 @@
 
         /** Returns what flows in: the rate, and a part of the burst, which each window may hold once. */
         double perSecond() {
-            double window = terms.rateWindow().toNanos() / 1e9;
-            return contract.rate() * (1 + OVERAGE_USED * terms.rateOverage())
+            double window = terms.get().rateWindow().toNanos() / 1e9;
+            return contract.rate() * (1 + OVERAGE_USED * terms.get().rateOverage())
                     + BURST_AS_RATE * contract.burst() / window;
         }
 
         /** Returns the size of the bucket: the rest of the burst, and what the terms allow besides. */
         double size() {
-            return (1 - BURST_AS_RATE) * contract.burst() * (1 + terms.rateOverage()) + SLACK_USED * terms.rateSlack();
+            return (1 - BURST_AS_RATE) * contract.burst() * (1 + terms.get().rateOverage())
+                    + SLACK_USED * terms.get().rateSlack();
         }
 
         void reckon(FleetSize size) {
@@ -176,7 +177,11 @@
     }
 
     private TeamShares(
-            Terms terms, TimeSource time, ReportBook reports, Supplier<FleetSize> fleet, DoubleSupplier random) {
+            Supplier<Terms> terms,
+            TimeSource time,
+            ReportBook reports,
+            Supplier<FleetSize> fleet,
+            DoubleSupplier random) {
         this.terms = terms;
         this.time = time;
         this.reports = reports;
@@ -186,7 +191,11 @@
 
     /** Creates shares of no team yet; {@code random} yields numbers from 0 to 1. */
     public static TeamShares of(
-            Terms terms, TimeSource time, ReportBook reports, Supplier<FleetSize> fleet, DoubleSupplier random) {
+            Supplier<Terms> terms,
+            TimeSource time,
+            ReportBook reports,
+            Supplier<FleetSize> fleet,
+            DoubleSupplier random) {
         return new TeamShares(
                 Validate.notNull(terms, "terms"),
                 Validate.notNull(time, "time"),
--- a/core/src/test/java/org/knapweedhatch/quota/ShareFleet.java
+++ b/core/src/test/java/org/knapweedhatch/quota/ShareFleet.java
@@ -52,7 +52,7 @@
         Node(int number) {
             this.number = number;
             shares = TeamShares.of(
-                    TERMS, time, reports, () -> FleetSize.of(known, reports.heardHosts()), random::nextDouble);
+                    () -> TERMS, time, reports, () -> FleetSize.of(known, reports.heardHosts()), random::nextDouble);
             shares.configure(List.of(team));
         }
     }
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -14,6 +14,7 @@
 import org.knapweedhatch.front.FrontContext;
 import org.knapweedhatch.front.FrontServer;
 import org.knapweedhatch.front.RequestMeters;
+import org.knapweedhatch.helper.Validate;
 import org.knapweedhatch.http.HttpCaller;
 import org.knapweedhatch.key.KeyRing;
 import org.knapweedhatch.log.EventLog;
@@ -92,6 +93,7 @@
     private final FrontPages pages;
     private final List<KindFeed> feeds;
     private final HostRegistry registry;
+    private volatile Terms terms;
     private volatile Directory directory;
     private volatile boolean leaving;
     private volatile boolean started;
@@ -102,6 +104,7 @@
 
     private FrontHost(FrontSettings settings, EventLog log, TimeSource time) {
         this.settings = settings;
+        terms = settings.terms();
         this.time = time;
         this.log = log;
         Host self = settings.host();
@@ -110,12 +113,12 @@
         hosts = SeenHosts.of(time);
         reports = ReportBook.of(time);
         shares = TeamShares.of(
-                settings.terms(),
+                this::terms,
                 time,
                 reports,
                 this::fleet,
                 () -> ThreadLocalRandom.current().nextDouble());
-        retries = RetryAllowance.of(settings.terms(), this::fleet);
+        retries = RetryAllowance.of(this::terms, this::fleet);
         placer = Placer.of(this);
         beliefs.onChange(this::believed);
         peers = Peers.builder(self, settings.secret(), time)
@@ -312,7 +315,7 @@
 
     @Override
     public Terms terms() {
-        return settings.terms();
+        return terms;
     }
 
     @Override
@@ -320,6 +323,11 @@
         return reports;
     }
 
+    /** Takes over what the operator grants from now on. */
+    public void terms(Terms granted) {
+        terms = Validate.notNull(granted, "terms");
+    }
+
     /** Returns whether this host takes requests. */
     public boolean ready() {
         return listening && beliefs.complete() && !leaving;
@@ -399,8 +407,8 @@
         leaving = true;
         log.line(LineKind.PROCESS).put("outcome", "leaving").write();
         peers.leave();
-        Duration longest = settings.terms().stopGrace().minus(STOP_MARGIN);
-        Duration accepting = settings.terms().stopGrace().dividedBy(2);
+        Duration longest = terms.stopGrace().minus(STOP_MARGIN);
+        Duration accepting = terms.stopGrace().dividedBy(2);
         boolean accepts = true;
         while (time.since(begun).compareTo(longest) < 0 && (accepts || server.openConnections() > 0)) {
             pause();
--- a/daemon/src/main/java/org/knapweedhatch/daemon/Main.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/Main.java
@@ -8,13 +8,20 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
+import java.util.stream.Stream;
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.http.HttpCaller;
+import org.knapweedhatch.ini.Checked;
 import org.knapweedhatch.ini.FaultList;
 import org.knapweedhatch.ini.FileFault;
 import org.knapweedhatch.ini.IniFile;
@@ -26,6 +33,7 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import sun.misc.Signal;
 
 /**
  * The program {@code knapweedhatchd}: one entry host until SIGTERM, which is a graceful shutdown.
@@ -38,6 +46,13 @@
     /** Environment variable that names the settings file where no option does. */
     private static final String SETTINGS_VARIABLE = "KNAPWEEDHATCH_CONFIG";
 
+    /** Signal that asks for a graceful shutdown. */
+    private static final String TERMINATE = "TERM";
+    /** Signal that says that the settings file has changed. */
+    private static final String RELOAD = "HUP";
+    /** Time between two looks at the settings file, which may change without a signal. */
+    private static final Duration SETTINGS_PERIOD = Duration.ofSeconds(1);
+
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int FAULTY_SETTINGS = 1;
     private static final int WRONG_ARGUMENTS = 2;
@@ -80,7 +95,7 @@
         if (FrontSettings.fits(file)) {
             FrontSettings settings = valid(FrontSettings.check(file));
             if (!checkOnly) {
-                runFront(settings);
+                runFront(path, settings);
             }
         } else {
             Settings settings = valid(Settings.check(file));
@@ -100,7 +115,7 @@
         }
     }
 
-    private static <T> T valid(org.knapweedhatch.ini.Checked<T> checked) {
+    private static <T> T valid(Checked<T> checked) {
         List<FileFault> faults = checked.faults();
         if (!faults.isEmpty()) {
             faults.forEach(System.err::println);
@@ -136,20 +151,23 @@
         }
     }
 
-    private static void runFront(FrontSettings settings) {
+    private static void runFront(Path path, FrontSettings settings) {
         EventLog log = EventLog.start(
                 new FileOutputStream(FileDescriptor.out), settings.host().name(), TimeSource.system());
-        Logger root = LogManager.getLogManager().getLogger("");
-        for (var handler : root.getHandlers()) {
-            root.removeHandler(handler);
-        }
-        root.addHandler(JsonLogHandler.of(log));
+        logTo(log);
+        BlockingQueue<String> signals = new LinkedBlockingQueue<>();
+        Stream.of(TERMINATE, RELOAD).forEach(name -> Signal.handle(new Signal(name), signal -> signals.add(name)));
         try {
             FrontHost host = FrontHost.start(settings, log, TimeSource.system());
-            CountDownLatch stopped = new CountDownLatch(1);
-            sun.misc.Signal.handle(new sun.misc.Signal("TERM"), signal -> stopped.countDown());
-            sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> {});
-            stopped.await();
+            SettingsFollower follower = SettingsFollower.of(path, settings, log, host::terms);
+            for (String signal = ""; !TERMINATE.equals(signal); ) {
+                signal = signals.poll(SETTINGS_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+                if (RELOAD.equals(signal)) {
+                    follower.reload("SIG" + RELOAD);
+                } else if (signal == null) {
+                    follower.poll();
+                }
+            }
             host.leave();
             log.close();
             Runtime.getRuntime().halt(0);
@@ -161,4 +179,12 @@
             System.exit(CANNOT_BIND);
         }
     }
+
+    private static void logTo(EventLog log) {
+        Logger root = LogManager.getLogManager().getLogger("");
+        for (Handler handler : root.getHandlers()) {
+            root.removeHandler(handler);
+        }
+        root.addHandler(JsonLogHandler.of(log));
+    }
 }
--- a/daemon/src/main/java/org/knapweedhatch/settings/FrontSettings.java
+++ b/daemon/src/main/java/org/knapweedhatch/settings/FrontSettings.java
@@ -68,6 +68,11 @@
         Validate.notNull(terms, "terms");
     }
 
+    /** Returns these settings with other terms. */
+    public FrontSettings terms(Terms granted) {
+        return new FrontSettings(host, ready, directory, metrics, seeds, platform, heartbeat, secret, domains, granted);
+    }
+
     /** Returns whether a file has the sections of these settings rather than those of {@link Settings}. */
     public static boolean fits(IniFile file) {
         return file.section(LISTEN).isPresent();
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/settings/FrontSettingsTest.java
@@ -0,0 +1,124 @@
+package org.knapweedhatch.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.knapweedhatch.ini.Checked;
+import org.knapweedhatch.ini.FileFault;
+import org.knapweedhatch.ini.IniFile;
+import org.knapweedhatch.world.Address;
+
+class FrontSettingsTest {
+
+    private static final List<String> GOOD = List.of(
+            "[host]",
+            "name = lima-a-1",
+            "region = lima",
+            "failure-domain = lima-a",
+            "edge = 127.0.0.11:8080",
+            "peer = 127.0.0.11:8081",
+            "[listen]",
+            "ready = 127.0.0.11:8082",
+            "directory = 127.0.0.11:8083",
+            "metrics = 127.0.0.11:9464",
+            "[platform]",
+            "address = 127.0.0.1:8500",
+            "heartbeat = 1500ms",
+            "[fleet]",
+            "secret = sixteen-characters-or-more",
+            "seeds = 127.0.0.12:8081, 127.0.0.13:8081",
+            "[domains]",
+            "lima-a = lima",
+            "[terms]",
+            "stop-grace = 6s",
+            "region-shift = 0.15");
+
+    private static Checked<FrontSettings> check(List<String> lines) {
+        byte[] text = String.join("\n", lines).getBytes(StandardCharsets.UTF_8);
+        return IniFile.parse("host.ini", text).then(FrontSettings::check);
+    }
+
+    private static List<String> with(int index, String line) {
+        List<String> lines = new java.util.ArrayList<>(GOOD);
+        lines.set(index, line);
+        return lines;
+    }
+
+    @Test
+    void goodFileIsRead() {
+        FrontSettings settings = check(GOOD).orThrow();
+        assertEquals("lima-a-1", settings.host().name());
+        assertEquals(new Address("127.0.0.11", 8082), settings.ready());
+        assertEquals(2, settings.seeds().size());
+        assertEquals(Map.of("lima-a", "lima"), settings.domains());
+        assertEquals(Duration.ofMillis(1_500), settings.heartbeat());
+        assertEquals(0.15, settings.terms().regionShift());
+    }
+
+    @Test
+    void everyFaultIsToldAtOnceWithItsLineAndField() {
+        List<String> lines = new java.util.ArrayList<>(GOOD);
+        lines.set(4, "edge = nowhere");
+        lines.set(12, "heartbeat = soon");
+        lines.set(19, "stop-grace = -6s");
+        lines.add("[extra]");
+        List<FileFault> faults = check(lines).faults();
+        String told = faults.toString();
+        assertEquals(4, faults.size(), told);
+        assertTrue(told.contains("host.ini:5") && told.contains("edge"), told);
+        assertTrue(told.contains("host.ini:13") && told.contains("heartbeat"), told);
+        assertTrue(told.contains("host.ini:20") && told.contains("stop-grace"), told);
+        assertTrue(told.contains("host.ini:22") && told.contains("extra"), told);
+    }
+
+    @Test
+    void aMissingSectionIsAFault() {
+        List<String> lines = GOOD.subList(0, 16);
+        String told = check(lines).faults().toString();
+        assertTrue(told.contains("domains") && told.contains("terms"), told);
+    }
+
+    @Provide
+    Arbitrary<List<String>> spoiled() {
+        Arbitrary<String> values = Arbitraries.of(
+                "",
+                "name",
+                "= 1",
+                "name =",
+                "heartbeat = 1e9s",
+                "seeds = ,,",
+                "[host]",
+                "[[terms]]",
+                "\u0000",
+                ";",
+                "edge = [::1]:80",
+                "region-shift = NaN",
+                "rate-slack = -1",
+                "edge = 127.0.0.1:99999",
+                "x".repeat(1_200));
+        return Arbitraries.integers()
+                .between(0, GOOD.size() - 1)
+                .flatMap(index -> values.map(line -> with(index, line)));
+    }
+
+    @Property(tries = 1_000, seed = "7")
+    void spoiledFileIsFaultsOrSettings(@ForAll("spoiled") List<String> lines) {
+        Checked<FrontSettings> checked = check(lines);
+        if (checked.faults().isEmpty()) {
+            assertFalse(checked.orThrow().host().name().isEmpty());
+        } else {
+            checked.faults().forEach(fault -> assertTrue(fault.toString().startsWith("host.ini"), fault.toString()));
+        }
+    }
+}
