--- a/daemon/src/main/java/org/knapweedhatch/store/HostRegistry.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/HostRegistry.java
@@ -72,6 +72,8 @@
             Result<List<ListedHost>> listed = api.hosts();
             if (listed.isOk()) {
                 peers.listed(listed.orThrow());
+            } else {
+                logFault("not listed", HttpPlatform.HOSTS, listed.fault());
             }
             pause(isAlone() || !entered ? ALONE_PAUSE : PAUSE);
             if (!stopped && entered && isFirst()) {
