Keep an object that was made anew after the deletion a watch tells of

Cause: a host that took a newer listing from a peer applied older deletions of its own watch, and forgot a target that had come back.

--- a/core/src/main/java/org/knapweedhatch/platform/Held.java
+++ b/core/src/main/java/org/knapweedhatch/platform/Held.java
@@ -49,8 +49,9 @@
                 .filter(object -> !objects.containsKey(object.name())
                         || objects.get(object.name()).version() < object.version())
                 .toList();
-        List<String> gone =
-                changes.deleted().stream().filter(objects::containsKey).toList();
+        List<String> gone = changes.deleted().stream()
+                .filter(name -> isHeldSince(name, changes.asOf()))
+                .toList();
         newer.forEach(object -> objects.put(object.name(), object));
         gone.forEach(objects::remove);
         asOf = Math.max(asOf, changes.asOf());
@@ -58,6 +59,12 @@
         return new Changes(newer, gone, changes.asOf());
     }
 
+    /** Returns whether an object is held in a state that a deletion up to some version ends. */
+    private boolean isHeldSince(String name, long asOf) {
+        StoredObject object = objects.get(name);
+        return object != null && object.version() <= asOf;
+    }
+
     private static long newest(List<StoredObject> all) {
         return all.stream().mapToLong(StoredObject::version).max().orElse(0);
     }
--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/place/PlaceFixture.java
@@ -0,0 +1,119 @@
+package org.knapweedhatch.place;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.knapweedhatch.clock.ManualTime;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.quota.FleetSize;
+import org.knapweedhatch.report.ReportBook;
+import org.knapweedhatch.target.KnownTarget;
+import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.Service;
+import org.knapweedhatch.world.Target;
+import org.knapweedhatch.world.Terms;
+
+/** One host's placer among regions lima and cusco, with the clock in hand. */
+final class PlaceFixture implements PlacerContext {
+
+    static final String SERVICE = "orders";
+    static final double COLD_PER_SECOND = 14;
+
+    final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
+    final ReportBook reports = ReportBook.of(time);
+    final Placer placer = Placer.of(this);
+    private final List<KnownTarget> targets = new ArrayList<>();
+    FleetSize fleet = new FleetSize(1, 1);
+    int rank;
+
+    /** Adds an open, warm target with some slots. */
+    PlaceFixture target(String name, String domain, int slots) {
+        return add(name, domain, slots, 1, false, time.nanos());
+    }
+
+    /** Adds a target that is cold for a time. */
+    PlaceFixture coldTarget(String name, Duration coldFor) {
+        return add(name, "lima-a", 5, 1, false, time.nanos() + coldFor.toNanos());
+    }
+
+    /** Puts a target with some life in place of the one of the same name. */
+    PlaceFixture add(String name, String domain, int slots, long life, boolean closed, long coldUntil) {
+        targets.removeIf(target -> target.name().equals(name));
+        Target target = new Target(name, SERVICE, domain, new Address("10.0.0.1", 80), slots, 330);
+        targets.add(new KnownTarget(target, domain.substring(0, domain.indexOf('-')), life, closed, coldUntil));
+        Service service =
+                new Service(SERVICE, Duration.ofSeconds(5), "/health", 330, Duration.ofSeconds(3), COLD_PER_SECOND);
+        placer.targets(List.copyOf(targets), Map.of(SERVICE, service));
+        return this;
+    }
+
+    static Ask ask(String object) {
+        return ask(object, Set.of(), Set.of());
+    }
+
+    static Ask ask(String object, Set<String> regions, Set<String> tried) {
+        return new Ask(
+                SERVICE, object, "id-" + object, 0, regions, tried, Duration.ofMillis(250), Duration.ofSeconds(1));
+    }
+
+    Placement.Sent sent(Ask ask) {
+        return (Placement.Sent) placer.place(ask);
+    }
+
+    /** Places a request and has it answered after a time. */
+    String served(Ask ask, Duration took) {
+        Placement.Sent sent = sent(ask);
+        placer.ended(sent.target(), ask.object(), Ending.ANSWERED, took.toNanos());
+        return sent.target().name();
+    }
+
+    @Override
+    public TimeSource time() {
+        return time;
+    }
+
+    @Override
+    public String region() {
+        return "lima";
+    }
+
+    @Override
+    public String domain() {
+        return "lima-a";
+    }
+
+    @Override
+    public double distance(String domain, String region) {
+        return domain.equals(domain())
+                ? 0
+                : Duration.ofMillis(region.equals(region()) ? 9 : 45).toNanos();
+    }
+
+    @Override
+    public double regionPart() {
+        return 0.5;
+    }
+
+    @Override
+    public Terms terms() {
+        return Terms.usual();
+    }
+
+    @Override
+    public ReportBook reports() {
+        return reports;
+    }
+
+    @Override
+    public FleetSize fleet() {
+        return fleet;
+    }
+
+    @Override
+    public int rankFor(String target) {
+        return rank;
+    }
+}
