--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
@@ -241,8 +241,11 @@
                 .orElseGet(() -> host.peer().socket());
     }
 
-    /** Closes all connections and stops listening. */
-    public void stop() {
+    /** Closes all connections and stops listening; does nothing where that was done before. */
+    public synchronized void stop() {
+        if (stopped) {
+            return;
+        }
         stopped = true;
         links.values().forEach(PeerLink::close);
         awaitLastWords();
