--- a/cli/src/main/java/org/knapweedhatch/cli/Commands.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/Commands.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.knapweedhatch.cli.bench.BenchCommand;
+import org.knapweedhatch.cli.explain.ExplainCommand;
 import org.knapweedhatch.cli.replay.ReplayCommand;
 import org.knapweedhatch.cli.replay.TraceCommand;
 import org.knapweedhatch.cli.timeline.TimelineCommand;
@@ -24,6 +25,7 @@
             TimelineCommand::new,
             ReplayCommand::new,
             TraceCommand::new,
+            ExplainCommand::new,
             BenchCommand::new);
 
     private Commands() {}
