Follow an empty store from its start

Cause: a feed took version 0 of an empty listing for 'not listed' and watched from 1, so the first object of a new store was missed until the next listing.

--- /dev/null
+++ b/core/src/test/java/org/knapweedhatch/steer/DirectoryTest.java
@@ -0,0 +1,63 @@
+package org.knapweedhatch.steer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.knapweedhatch.member.Load;
+import org.knapweedhatch.member.Member;
+import org.knapweedhatch.member.MemberState;
+import org.knapweedhatch.member.View;
+import org.knapweedhatch.world.Address;
+import org.knapweedhatch.world.Host;
+
+class DirectoryTest {
+
+    private final List<Member> members = new ArrayList<>();
+
+    private DirectoryTest member(String name, String domain, MemberState state, long configuration) {
+        Address address = new Address("10.0.0.1", 80);
+        Host host = new Host(name, domain.substring(0, domain.indexOf('-')), domain, address, address);
+        members.add(new Member(host, 1, state, configuration, Load.NONE));
+        return this;
+    }
+
+    private List<String> named(String region, String domain) {
+        return Directory.of(View.of("a1", members)).hosts(region, domain).stream()
+                .map(Host::name)
+                .toList();
+    }
+
+    @Test
+    void callersUseTheHostsOfTheirDomain() {
+        member("a1", "lima-a", MemberState.ALIVE, 1)
+                .member("a2", "lima-a", MemberState.ALIVE, 1)
+                .member("b1", "lima-b", MemberState.ALIVE, 1);
+        assertEquals(List.of("a1", "a2"), named("lima", "lima-a"));
+    }
+
+    @Test
+    void domainWithOneHostIsHelpedByItsRegion() {
+        member("a1", "lima-a", MemberState.ALIVE, 1)
+                .member("b1", "lima-b", MemberState.ALIVE, 1)
+                .member("c1", "cusco-a", MemberState.ALIVE, 1);
+        assertEquals(List.of("a1", "b1"), named("lima", "lima-a"));
+    }
+
+    @Test
+    void regionWithoutHostsUsesAllOthers() {
+        member("a1", "lima-a", MemberState.ALIVE, 1).member("c1", "cusco-a", MemberState.ALIVE, 1);
+        assertEquals(List.of("a1", "c1"), named("ica", "ica-a"));
+    }
+
+    @Test
+    void silentLeavingAndUnconfiguredHostsAreNotNamed() {
+        member("a1", "lima-a", MemberState.SILENT, 1)
+                .member("a2", "lima-a", MemberState.LEAVING, 1)
+                .member("a3", "lima-a", MemberState.ALIVE, 0)
+                .member("a4", "lima-a", MemberState.ALIVE, 1)
+                .member("a5", "lima-a", MemberState.ALIVE, 1);
+        assertEquals(List.of("a4", "a5"), named("lima", "lima-a"));
+    }
+}
--- a/daemon/src/main/java/org/knapweedhatch/store/KindFeed.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/KindFeed.java
@@ -28,6 +28,7 @@
     private final String prefix;
     private final Sink sink;
     private volatile boolean stopped;
+    private boolean listed;
     private long asOf;
     private int failures;
 
@@ -69,10 +70,10 @@
     @Override
     public void run() {
         while (!stopped) {
-            if (asOf == 0) {
-                list();
-            } else {
+            if (listed) {
                 watch();
+            } else {
+                list();
             }
         }
     }
@@ -84,7 +85,8 @@
             return;
         }
         succeed();
-        asOf = Math.max(1, listing.orThrow().asOf());
+        listed = true;
+        asOf = listing.orThrow().asOf();
         sink.listed(listing.orThrow());
     }
 
@@ -92,7 +94,7 @@
         Result<Changes> changes = api.changes(prefix, asOf, WATCH_WAIT);
         if (!changes.isOk()) {
             boolean expired = Problem.EXPIRED.is(changes.fault());
-            asOf = 0;
+            listed = false;
             if (!expired) {
                 fail(changes.fault());
             }
