Read a caller's socket before its request is sent, while the loop lags

While the loop lags, a request that is due to be sent in the same pass as others was sent without a read of its caller's connection in between, however long the pass took. The deferral by 3 ms is replaced by a read of the socket right before the request is admitted and sent. The test, with a stalled pass, failed first.

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -2,10 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpContent;
@@ -145,12 +147,28 @@
     private void begin(CallerRequest request) {
         EventLoop loop = context.channel().eventLoop();
         if (server.lags()) {
-            server.later(() -> request.received(loop));
+            server.execute(() -> {
+                if (!callerLeft()) {
+                    request.received(loop);
+                }
+            });
         } else {
             request.received(loop);
         }
     }
 
+    /**
+     * Reads what the caller sent last, and returns whether it has closed the connection; not to be called while this
+     * connection is being read. A loop that lags gets to read a close long after the request before it.
+     */
+    boolean callerLeft() {
+        Channel channel = context.channel();
+        if (channel.isOpen() && channel.unsafe() instanceof NioUnsafe unsafe) {
+            unsafe.read();
+        }
+        return !channel.isOpen();
+    }
+
     /** Writes the answers that are ready and whose turn it is. */
     void flushAnswers() {
         boolean wrote = false;
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -192,13 +192,18 @@
             }
             connection = opened;
             if (server.lags()) {
-                // The caller's leaving may wait to be read behind this event.
-                server.later(this::send);
+                server.execute(this::sendUnlessCallerLeft);
             } else {
                 send();
             }
         }
 
+        private void sendUnlessCallerLeft() {
+            if (!CallerRequest.this.connection.callerLeft()) {
+                send();
+            }
+        }
+
         private void send() {
             if (over) {
                 return;
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -39,9 +39,6 @@
 
     private static final long SWEEP_MS = 500;
 
-    /** Time in which the loop reads what came after a request, in milliseconds. */
-    private static final long LOOK_MS = 3;
-
     /** An idle connection is kept a little longer than callers may use it. */
     private static final Duration IDLE_MARGIN = Duration.ofSeconds(1);
 
@@ -144,9 +141,9 @@
         }
     }
 
-    /** Runs something once the loop has read what came meanwhile. */
-    void later(Runnable task) {
-        loop.schedule(task, LOOK_MS, TimeUnit.MILLISECONDS);
+    /** Runs something on the event loop. */
+    void execute(Runnable task) {
+        loop.execute(task);
     }
 
     /** Returns whether the event loop lately lagged behind, so that what it reads may be old. */
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -64,6 +64,10 @@
     private volatile boolean leaving;
     volatile Optional<RateSpent> spent = Optional.empty();
     volatile boolean mayRetry = true;
+    /** Runs on the server's event loop at each admission. */
+    volatile Runnable onSpend = () -> {};
+    /** Runs on the server's event loop before a request is sent for the first time. */
+    volatile Runnable onSentFirst = () -> {};
 
     FrontFixture(int count) throws IOException {
         log = EventLog.start(lines, "test", time);
@@ -258,6 +262,7 @@
 
     @Override
     public Optional<RateSpent> spend(String team) {
+        onSpend.run();
         return spent;
     }
 
@@ -273,7 +278,9 @@
     }
 
     @Override
-    public void sentFirst(String service) {}
+    public void sentFirst(String service) {
+        onSentFirst.run();
+    }
 
     @Override
     public boolean leaving() {
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
@@ -10,6 +10,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -84,6 +89,71 @@
         assertTrue(metrics.contains("knapweedhatch_refused_total{reason=\"NO_ROUTE\"} 1"), metrics);
     }
 
+    @Test
+    void requestWhoseCallerLeftWhileTheLoopLaggedIsNotSent() throws Exception {
+        CountDownLatch written = new CountDownLatch(1);
+        CountDownLatch sending = new CountDownLatch(1);
+        CountDownLatch left = new CountDownLatch(1);
+        AtomicInteger admitted = new AtomicInteger();
+        AtomicBoolean first = new AtomicBoolean(true);
+        try (FrontFixture.Caller stays = front.new Caller();
+                FrontFixture.Caller leaves = front.new Caller();
+                FrontFixture.Caller other = front.new Caller()) {
+            openTargetConnections(stays, leaves, other);
+            // The last admission takes long enough for all three to be due to be sent in one pass of the loop.
+            front.onSpend = () -> stall(admitted.incrementAndGet() == 3 ? 20 : 0);
+            front.onSentFirst = () -> {
+                if (first.getAndSet(false)) {
+                    sending.countDown();
+                    await(left);
+                }
+            };
+            front.server().execute(() -> {
+                await(written);
+                // Long enough to count as a lag.
+                stall(300);
+            });
+            stays.send(get("/safe/stays", "id-1"));
+            leaves.send(get("/safe/leaves", "id-2"));
+            other.send(get("/safe/other", "id-3"));
+            written.countDown();
+            await(sending);
+            leaves.close();
+            stall(50);
+            left.countDown();
+            assertEquals(200, stays.read().status());
+            assertEquals(200, other.read().status());
+        }
+        assertEquals(1, front.sent("/safe/stays"));
+        assertEquals(0, front.sent("/safe/leaves"));
+    }
+
+    /** Leaves several idle connections to each target, and the callers' own open. */
+    private void openTargetConnections(FrontFixture.Caller... callers) throws IOException {
+        for (FrontFixture.Caller caller : callers) {
+            for (int i = 0; i < 8; i++) {
+                caller.send(get("/safe/before", "id-" + i));
+            }
+        }
+        for (FrontFixture.Caller caller : callers) {
+            for (int i = 0; i < 8; i++) {
+                assertEquals(200, caller.read().status());
+            }
+        }
+    }
+
+    private static void stall(long millis) {
+        LockSupport.parkNanos(Duration.ofMillis(millis).toNanos());
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(20, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     void noTargetSeesTheKeyNorHeadersThatOnlyHostsSet() throws IOException {
         String forged =
