--- a/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
@@ -191,7 +191,7 @@
             return this;
         }
 
-        /** Sets what is done at every tick, ten times a second; it must not block. */
+        /** Sets what is done at every {@link Membership#TICK}; it must not block. */
         public Builder eachTick(Runnable task) {
             eachTick = Validate.notNull(task, "task");
             return this;
