--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -71,7 +71,7 @@
     /** Time there and back between regions; 24 to 70 ms in the deployments seen. */
     private static final Duration REGION_DISTANCE = Duration.ofMillis(45);
 
-    /** Ticks of the peers between two reports to them: a quarter of a second. */
+    /** Ticks of the peers between two reports to them: a fifth of a second. */
     private static final int REPORT_TICKS = 2;
 
     private final FrontSettings settings;
