--- a/cli/src/main/java/org/knapweedhatch/cli/explain/LogLine.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/explain/LogLine.java
@@ -24,7 +24,6 @@
     private static final JsonMapper MAPPER = new JsonMapper();
     private static final Set<String> HEAD = Set.of("time", "host", "event");
 
-    /** Checks the parts. */
     LogLine {
         Validate.notNull(time, "time");
         Validate.notEmpty(host, "host");
--- a/core/src/main/java/org/knapweedhatch/place/ServicePool.java
+++ b/core/src/main/java/org/knapweedhatch/place/ServicePool.java
@@ -33,7 +33,10 @@
     /** Seed of the draw that decides which objects go to other regions. */
     private static final int AWAY_SEED = 7;
 
+    /** Least time that a refused caller is told to wait; a slot frees about as often on a busy target. */
     private static final Duration SHORTEST_RETRY = Duration.ofMillis(100);
+
+    /** Time to wait where no target is open; beliefs about targets change several times a second. */
     private static final Duration NO_TARGET_RETRY = Duration.ofMillis(500);
 
     private final PlacerContext context;
@@ -49,6 +52,7 @@
     private record Candidate(
             Gauge gauge, int rank, int busy, double waitNanos, double forecastNanos, boolean lastResort) {
 
+        /** Class of targets that neither answer in time nor have a free slot. */
         static final int CROWDED = 2;
 
         /** Returns the class in which the target is tried; lower ones go first. */
--- a/core/src/main/java/org/knapweedhatch/place/TargetHealth.java
+++ b/core/src/main/java/org/knapweedhatch/place/TargetHealth.java
@@ -13,7 +13,10 @@
  */
 final class TargetHealth {
 
+    /** Pause after the first loss; a connection attempt within a region takes well under it. */
     private static final long FIRST_PAUSE = Duration.ofMillis(250).toNanos();
+
+    /** Longest pause; callers' latency targets are below it, so a target that is back is found soon. */
     private static final long MAX_PAUSE = Duration.ofSeconds(2).toNanos();
 
     /** Pause of a target whose address another one has; its registration is about to change. */
@@ -22,7 +25,10 @@
     /** Share of failures above which a target is avoided, over the last answers. */
     private static final double FAILING_SHARE = 0.3;
 
+    /** Weight of one answer: about the last ten count. */
     private static final double SMOOTHING = 0.1;
+
+    /** Time for which a failing target is avoided; then it gets the chance to show that it works. */
     private static final long AVOIDED = Duration.ofSeconds(2).toNanos();
 
     private int losses;
--- a/core/src/main/java/org/knapweedhatch/place/WorkTimes.java
+++ b/core/src/main/java/org/knapweedhatch/place/WorkTimes.java
@@ -10,6 +10,7 @@
  */
 final class WorkTimes {
 
+    /** Weight of one answer: about the last twenty count, a second or less of a busy service. */
     private static final double SMOOTHING = 0.05;
 
     /** Assumed before the first answer; a usual time of an interactive service. */
--- a/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
@@ -57,11 +57,15 @@
     /** Part of the bucket above which a host may take more than its own part at once. */
     private static final double PLENTY = 0.25;
 
-    /** What all hosts may take besides until the next reckoning: a part of the level, and this at least. */
+    /** Part of the level that all hosts may take besides until the next reckoning; the rest covers late reports. */
     private static final double LOAN = 0.9;
 
+    /**
+     * Requests that all hosts may take besides at least: four for each of nine hosts, so that small teams are served.
+     */
     private static final double LEAST_LOAN = 36;
 
+    /** Bound on what the least loan adds, as a multiple of the level; the terms' slack bears the excess. */
     private static final double MOST_LOAN = 1.5;
 
     /** Age of the oldest report above which nothing is lent: the other side of a cut might spend the same. */
@@ -70,6 +74,7 @@
     /** Time for which no earlier process at this host can have spent anything; no process starts faster. */
     private static final Duration LEAST_PAUSE = Duration.ofMillis(500);
 
+    /** Longest time that a refused caller is told to wait; a team's rate is counted over about as long. */
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(5);
 
     /** Demand below this is not worth its bytes in a report. */
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -32,8 +32,13 @@
     /** An idle connection that was used within this time carries requests that must not run twice. */
     private static final Duration FRESH = Duration.ofSeconds(2);
 
+    /** Status of a target that is not the one the request was meant for; such a request has not run. */
     private static final int MISDIRECTED = 421;
+
+    /** Age that no idle connection reaches. */
     private static final Duration ANY_AGE = Duration.ofDays(1);
+
+    /** Time to wait after a refusal that comes with no forecast; the usual work of a target. */
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
 
     private final FrontServer server;
--- a/daemon/src/main/java/org/knapweedhatch/front/ForwardHeaders.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/ForwardHeaders.java
@@ -12,6 +12,7 @@
 /** Which headers pass through a host. */
 final class ForwardHeaders {
 
+    /** Headers that concern one connection only (RFC 9110, 7.6.1). */
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
             "keep-alive",
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -37,12 +37,16 @@
     /** Connections that wait to be accepted; a burst of callers that come back at once. */
     private static final int BACKLOG = 2_048;
 
+    /** Milliseconds between two looks for idle connections; timeouts of callers are seconds. */
     private static final long SWEEP_MS = 500;
 
     /** An idle connection is kept a little longer than callers may use it. */
     private static final Duration IDLE_MARGIN = Duration.ofSeconds(1);
 
+    /** Longest request line in bytes; usual servers take as much. */
     private static final int MAX_LINE_BYTES = 8_192;
+
+    /** Largest piece of a body that is decoded at once, in bytes; bounds a read's memory. */
     private static final int MAX_CHUNK_BYTES = 65_536;
 
     private final FrontContext context;
--- a/daemon/src/main/java/org/knapweedhatch/front/OwnAnswers.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/OwnAnswers.java
@@ -14,6 +14,7 @@
 /** The answers that a host gives itself, as {@code application/problem+json} (RFC 9457). */
 final class OwnAnswers {
 
+    /** Status that asks for a key. */
     private static final int UNAUTHORIZED = 401;
 
     private OwnAnswers() {}
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -41,6 +41,7 @@
     /** A connection is given up this long before the target would close it, for a request on its way. */
     private static final Duration KEEP_MARGIN = Duration.ofMillis(1_500);
 
+    /** Parameter of Keep-Alive: seconds after which the target closes an idle connection. */
     private static final Pattern TIMEOUT = Pattern.compile("(?:^|[,;\\s])timeout=(\\d{1,6})");
 
     /** What becomes of a request; exactly one method is called, once. */
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnections.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnections.java
@@ -37,8 +37,13 @@
     /** Idle connections kept to one target; more than the requests that one host has there at a time. */
     private static final int MAX_IDLE = 8;
 
+    /** Longest status line in bytes; usual servers send far less. */
     private static final int MAX_LINE_BYTES = 8_192;
+
+    /** Longest head of an answer in bytes; twice what callers may send. */
     private static final int MAX_HEAD_BYTES = 32_768;
+
+    /** Largest piece of an answer that is decoded at once, in bytes; bounds a read's memory. */
     private static final int MAX_CHUNK_BYTES = 16_384;
 
     /** What becomes of a wish for a connection; one method is called, once. */
--- a/daemon/src/main/java/org/knapweedhatch/log/EventLog.java
+++ b/daemon/src/main/java/org/knapweedhatch/log/EventLog.java
@@ -34,8 +34,12 @@
     /** Longest time that the writer waits for more lines before it flushes what it has. */
     private static final long FLUSH_MS = 100;
 
+    /** Bytes of lines that are written at once; a pipe takes as much without blocking. */
     private static final int BATCH_BYTES = 4 * 1_024;
+
+    /** First size of a line's buffer, in bytes; most lines fit. */
     private static final int LINE_BYTES = 256;
+
     private static final JsonFactory JSON = new JsonFactory();
 
     private final OutputStream out;
--- a/daemon/src/main/java/org/knapweedhatch/store/HostRegistry.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/HostRegistry.java
@@ -33,6 +33,7 @@
     /** Pause between two readings otherwise: hosts tell each other of new ones. */
     private static final Duration PAUSE = Duration.ofSeconds(60);
 
+    /** Parts into which a pause is cut, so that a stop does not wait for its end. */
     private static final int STEPS = 10;
 
     private final ObjectApi api;
--- a/daemon/src/main/java/org/knapweedhatch/store/KindFeed.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/KindFeed.java
@@ -21,7 +21,10 @@
     /** Time that changes which come together are given to be answered by one call. */
     private static final Duration GATHER = Duration.ofMillis(50);
 
+    /** Pause after the first failed call; doubled with each, and spread at random. */
     private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+
+    /** Longest pause after failed calls; entries that come back after an outage have to be heard within 2 s. */
     private static final Duration MAX_PAUSE = Duration.ofSeconds(1);
 
     private final ObjectApi api;
--- a/daemon/src/main/java/org/knapweedhatch/store/PeerNews.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/PeerNews.java
@@ -31,6 +31,7 @@
     /** Time between two requests for one kind. */
     private static final Duration PACE = Duration.ofMillis(300);
 
+    /** Prefix of the names under which hosts ask each other for what they hold. */
     private static final String PREFIX = "store/";
 
     private final Beliefs beliefs;
--- a/daemon/src/test/java/org/knapweedhatch/log/EventLogTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/log/EventLogTest.java
@@ -42,7 +42,8 @@
                 .write();
         log.close();
         assertEquals(
-                "{\"time\":\"1970-01-01T00:00:00Z\",\"host\":\"h1\",\"event\":\"refused\",\"request\":\"a\\\"b\\n\",\"sent\":2,"
+                "{\"time\":\"1970-01-01T00:00:00Z\",\"host\":\"h1\",\"event\":\"refused\","
+                        + "\"request\":\"a\\\"b\\n\",\"sent\":2,"
                         + "\"afterMs\":1.235}",
                 lines().get(0).toString());
     }
