--- a/cli/src/main/java/org/knapweedhatch/cli/Session.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/Session.java
@@ -8,6 +8,7 @@
 import java.io.PrintStream;
 import java.net.URI;
 import java.util.List;
+import java.util.Optional;
 import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.fault.Fault;
 import org.knapweedhatch.fault.Result;
@@ -31,7 +32,7 @@
     private final boolean json;
     private final PrintStream out;
     private final PrintStream err;
-    private final HttpCaller caller = HttpCaller.create();
+    private Optional<HttpCaller> caller = Optional.empty();
 
     Session(CliSettings settings, boolean json, PrintStream out, PrintStream err) {
         this.settings = settings;
@@ -82,7 +83,7 @@
             return Result.failed(Step.SETTINGS, "", "no platform is set; use --platform or a settings file");
         }
         URI base = URI.create("http://" + settings.platform().get());
-        return Result.ok(HttpPlatform.create(caller, base, settings.token()));
+        return Result.ok(HttpPlatform.create(caller(), base, settings.token()));
     }
 
     /** Returns the releases in the platform. */
@@ -104,7 +105,7 @@
     /** Returns the JSON document at a path of a host, such as {@code /-/status}. */
     public Result<JsonNode> ask(Address host, String path) {
         URI uri = URI.create("http://" + host + path);
-        return caller.call(HttpCall.get(uri)).then(answer -> parse(host, answer));
+        return caller().call(HttpCall.get(uri)).then(answer -> parse(host, answer));
     }
 
     private static Result<JsonNode> parse(Address host, HttpAnswer answer) {
@@ -118,8 +119,16 @@
         }
     }
 
+    /** Returns the HTTP caller; commands that read files only never start its threads. */
+    private HttpCaller caller() {
+        if (caller.isEmpty()) {
+            caller = Optional.of(HttpCaller.create());
+        }
+        return caller.get();
+    }
+
     @Override
     public void close() {
-        caller.close();
+        caller.ifPresent(HttpCaller::close);
     }
 }
