Stall the loop in a test by a sleep, and assert that it lagged

Cause: beside load FrontServerTest sent all three requests of callers that had left. The test stalled the loop by a park, which ends at once on a permit that a latch has left; then the loop does not lag and the server rightly does not look. The stall now sleeps, and the lag is asserted. With the look taken out on a scratch copy the test fails (three sent, one wanted).

--- a/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -96,12 +95,14 @@
         CountDownLatch left = new CountDownLatch(1);
         AtomicInteger admitted = new AtomicInteger();
         AtomicBoolean first = new AtomicBoolean(true);
+        AtomicBoolean lagged = new AtomicBoolean();
         List<FrontFixture.Caller> callers = List.of(front.new Caller(), front.new Caller(), front.new Caller());
         openTargetConnections(callers);
         // The last admission takes long enough for all three to be due to be sent in one pass of the loop.
         front.onSpend = () -> stall(admitted.incrementAndGet() == 3 ? 20 : 0);
         front.onSentFirst = () -> {
             if (first.getAndSet(false)) {
+                lagged.set(front.server().lags());
                 sending.countDown();
                 await(left);
             }
@@ -122,6 +123,7 @@
         stall(50);
         left.countDown();
         assertEquals(200, front.call("GET", "/safe/after").status());
+        assertTrue(lagged.get(), "the loop did not lag");
         // The loop reads the three in any order; the one that was being sent when all left is sent.
         assertEquals(1, front.sent("/safe/leaves"));
     }
@@ -140,8 +142,13 @@
         }
     }
 
+    /** Sleeps for the whole time; a park could end at once on a permit that a latch left. */
     private static void stall(long millis) {
-        LockSupport.parkNanos(Duration.ofMillis(millis).toNanos());
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
     }
 
     private static void await(CountDownLatch latch) {
