--- a/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
@@ -90,6 +90,7 @@
 
     @Test
     void requestsWhoseCallersLeftWhileTheLoopLaggedAreNotSent() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
         CountDownLatch written = new CountDownLatch(1);
         CountDownLatch sending = new CountDownLatch(1);
         CountDownLatch left = new CountDownLatch(1);
@@ -108,10 +109,12 @@
             }
         };
         front.server().execute(() -> {
+            held.countDown();
             await(written);
             // Long enough to count as a lag.
             stall(300);
         });
+        await(held);
         for (FrontFixture.Caller caller : callers) {
             caller.send(get("/safe/leaves", "id-1"));
         }
