Let one piece serve where two did the same; behaviour is unchanged

- IniFile.read serves both kinds of settings and the daemon, which read files each in its own copy.
- A feed of the store pauses by fleet.BackOff and Waiter instead of a back-off and a sleep of its own.
- CallerConnection.unlessCallerLeft is the one place that looks for a caller that left before a step of its request.
- PeerTransport.explore greets seeds for both kinds of host; MemoryPlatform waits for changes in one loop.
- Targets are drawn once an object and not at each comparison of a sort, on the way of every request.
- Code that nothing called is gone; two test fixtures are shared; a page of TeamShares said half where a quarter holds.

--- a/core/src/main/java/org/knapweedhatch/ini/IniFile.java
+++ b/core/src/main/java/org/knapweedhatch/ini/IniFile.java
@@ -1,10 +1,13 @@
 package org.knapweedhatch.ini;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.CharBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.CodingErrorAction;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import org.knapweedhatch.helper.Validate;
@@ -59,6 +62,17 @@
         return sections.stream().filter(s -> s.title().equals(title)).findFirst();
     }
 
+    /** Reads and parses a file; one that cannot be read is a fault of the file. */
+    public static Checked<IniFile> read(Path file) {
+        try {
+            return parse(file.toString(), Files.readAllBytes(file));
+        } catch (IOException e) {
+            FaultList faults = FaultList.of(file.toString());
+            faults.add(0, "", "cannot be read: " + e.getClass().getSimpleName());
+            return faults.checked();
+        }
+    }
+
     private static int firstBadLine(byte[] bytes) {
         ByteBuffer in = ByteBuffer.wrap(bytes);
         CharBuffer out = CharBuffer.allocate(bytes.length + 1);
--- a/core/src/main/java/org/knapweedhatch/place/Placer.java
+++ b/core/src/main/java/org/knapweedhatch/place/Placer.java
@@ -86,11 +86,4 @@
                         entry -> Hashes.of(entry.getKey()),
                         entry -> entry.getValue().demand()));
     }
-
-    /** Returns the part of each service's objects that other regions serve. */
-    public Map<String, Double> awayShares() {
-        return pools.entrySet().stream()
-                .collect(Collectors.toUnmodifiableMap(
-                        Map.Entry::getKey, entry -> entry.getValue().awayShare()));
-    }
 }
--- a/core/src/main/java/org/knapweedhatch/place/ServicePool.java
+++ b/core/src/main/java/org/knapweedhatch/place/ServicePool.java
@@ -67,6 +67,13 @@
         }
     }
 
+    /** A target with its draw for one object; drawn once, since hashing weighs more than comparing. */
+    private record Drawn(Gauge gauge, boolean far, double draw) {
+        static final Comparator<Drawn> ORDER = Comparator.comparing(Drawn::far)
+                .thenComparingDouble(Drawn::draw)
+                .thenComparing(drawn -> drawn.gauge().target().name());
+    }
+
     ServicePool(String service, PlacerContext context) {
         this.context = context;
         key = Hashes.of(service);
@@ -189,17 +196,15 @@
 
     /** Returns the targets as they stand for a request, in its object's order. */
     private List<Candidate> candidates(Ask ask, List<Gauge> gauges, long now) {
-        Comparator<Gauge> byObject = Comparator.comparingDouble(gauge -> draw(ask, gauge));
-        Comparator<Gauge> order = ask.bytes() >= LARGE_BODY
-                ? Comparator.comparing((Gauge gauge) -> !gauge.domain().equals(context.domain()))
-                        .thenComparing(byObject)
-                : byObject;
-        List<Gauge> ordered = gauges.stream()
-                .sorted(order.thenComparing(gauge -> gauge.target().name()))
+        boolean ownDomainFirst = ask.bytes() >= LARGE_BODY;
+        List<Drawn> ordered = gauges.stream()
+                .map(gauge ->
+                        new Drawn(gauge, ownDomainFirst && !gauge.domain().equals(context.domain()), draw(ask, gauge)))
+                .sorted(Drawn.ORDER)
                 .toList();
         List<Candidate> candidates = new ArrayList<>();
         for (int rank = 0; rank < ordered.size(); rank++) {
-            candidates.add(candidate(ask, ordered.get(rank), rank, now));
+            candidates.add(candidate(ask, ordered.get(rank).gauge(), rank, now));
         }
         return candidates;
     }
@@ -292,17 +297,4 @@
                 .filter(gauge -> gauge.outstanding() > 0)
                 .forEach(gauge -> uses.merge(gauge.key(), gauge.outstanding(), Integer::sum));
     }
-
-    /** Returns the part of the objects that other regions serve. */
-    synchronized double awayShare() {
-        return away.share();
-    }
-
-    /** Returns the target with a name, where it is open to requests. */
-    synchronized Optional<KnownTarget> openTarget(String name) {
-        return open.stream()
-                .map(Gauge::target)
-                .filter(t -> t.name().equals(name))
-                .findFirst();
-    }
 }
--- a/core/src/main/java/org/knapweedhatch/platform/MemoryPlatform.java
+++ b/core/src/main/java/org/knapweedhatch/platform/MemoryPlatform.java
@@ -9,6 +9,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.fault.Result;
 import org.knapweedhatch.helper.Validate;
@@ -205,39 +207,12 @@
 
     @Override
     public Result<List<StoredObject>> list(String prefix) {
-        counter.list();
-        pause();
-        lock.lock();
-        try {
-            return down ? unavailable(prefix) : Result.ok(under(readable(), prefix, 0));
-        } finally {
-            lock.unlock();
-        }
+        return listing(prefix).then(listing -> Result.ok(listing.objects()));
     }
 
     @Override
     public Result<List<StoredObject>> watch(String prefix, long afterVersion, Duration wait) {
-        counter.watch();
-        pause();
-        long nanos = wait.toNanos();
-        lock.lock();
-        try {
-            while (true) {
-                List<StoredObject> found = under(objects, prefix, afterVersion);
-                if (down) {
-                    return unavailable(prefix);
-                }
-                if (!found.isEmpty() || nanos <= 0) {
-                    return Result.ok(found);
-                }
-                nanos = changed.awaitNanos(nanos);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return failed(Problem.UNAVAILABLE, prefix, "interrupted");
-        } finally {
-            lock.unlock();
-        }
+        return await(prefix, wait, () -> Result.ok(under(objects, prefix, afterVersion)), List::isEmpty);
     }
 
     @Override
@@ -255,6 +230,17 @@
 
     @Override
     public Result<Changes> changes(String prefix, long afterVersion, Duration wait) {
+        return await(prefix, wait, () -> changesAfter(prefix, afterVersion), Changes::isEmpty);
+    }
+
+    private Result<Changes> changesAfter(String prefix, long version) {
+        return version < firstKept
+                ? failed(Problem.EXPIRED, prefix, "changes after " + version + " are gone")
+                : Result.ok(new Changes(under(objects, prefix, version), deletedUnder(prefix, version), this.version));
+    }
+
+    /** Looks again at each write, under the lock, until something is found or the wait is over. */
+    private <T> Result<T> await(String prefix, Duration wait, Supplier<Result<T>> look, Predicate<T> isEmpty) {
         counter.watch();
         pause();
         long nanos = wait.toNanos();
@@ -264,13 +250,9 @@
                 if (down) {
                     return unavailable(prefix);
                 }
-                if (afterVersion < firstKept) {
-                    return failed(Problem.EXPIRED, prefix, "changes after " + afterVersion + " are gone");
-                }
-                Changes found =
-                        new Changes(under(objects, prefix, afterVersion), deletedUnder(prefix, afterVersion), version);
-                if (!found.isEmpty() || nanos <= 0) {
-                    return Result.ok(found);
+                Result<T> found = look.get();
+                if (!found.isOk() || !isEmpty.test(found.orThrow()) || nanos <= 0) {
+                    return found;
                 }
                 nanos = changed.awaitNanos(nanos);
             }
--- a/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
@@ -28,9 +28,9 @@
  *
  * <p>Hosts that hear each other share one bucket a team, whose level each of them reckons from what all report to have
  * spent. A host spends the part of what flows in, and of the level, that its own demand has in the demand of all; while
- * the bucket is more than half full it may run ahead of its part. The equal part of a host that is not heard is kept
- * for it, and one that hears nobody holds itself to its equal part: whoever is cut off, the parts sum to no more than
- * the whole.
+ * more than a quarter of the bucket is left it may run ahead of its part. The equal part of a host that is not heard is
+ * kept for it, and one that hears nobody holds itself to its equal part: whoever is cut off, the parts sum to no more
+ * than the whole.
  *
  * <p>Safe for use by many threads.
  */
@@ -61,7 +61,7 @@
     private static final double LOAN = 0.9;
 
     /**
-     * Requests that all hosts may take besides at least: four for each of nine hosts, so that small teams are served.
+     * Requests that all hosts may take besides at least, so that a small team's are not refused for its small share.
      */
     private static final double LEAST_LOAN = 36;
 
--- a/core/src/main/java/org/knapweedhatch/target/TargetBook.java
+++ b/core/src/main/java/org/knapweedhatch/target/TargetBook.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -216,11 +215,4 @@
         boolean closed = registration.leaving() || evacuated.contains(registration.domain());
         return new KnownTarget(target, region, entry.life, closed, entry.coldUntilNanos);
     }
-
-    /** Returns the names of all registrations that are held, with the number of their life. */
-    public synchronized Map<String, Long> lives() {
-        Map<String, Long> all = new HashMap<>();
-        entries.forEach((name, entry) -> all.put(name, entry.life));
-        return all;
-    }
 }
--- a/core/src/test/java/org/knapweedhatch/quota/RetryAllowanceTest.java
+++ b/core/src/test/java/org/knapweedhatch/quota/RetryAllowanceTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -12,19 +11,7 @@
 
 class RetryAllowanceTest {
 
-    private static final Terms TERMS = new Terms(
-            Duration.ofSeconds(6),
-            Duration.ofSeconds(2),
-            Duration.ofSeconds(5),
-            0.2,
-            58,
-            Duration.ofSeconds(10),
-            Duration.ofSeconds(5),
-            0.1,
-            20,
-            1.5,
-            5,
-            0.15);
+    private static final Terms TERMS = ShareFleet.TERMS;
 
     private static int spendAll(RetryAllowance allowance) {
         int spent = 0;
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -10,6 +10,7 @@
 import org.knapweedhatch.admin.Admin;
 import org.knapweedhatch.admin.Metrics;
 import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.fleet.Peers;
 import org.knapweedhatch.front.FrontContext;
 import org.knapweedhatch.front.FrontServer;
@@ -411,7 +412,7 @@
         Duration accepting = terms.stopGrace().dividedBy(2);
         boolean accepts = true;
         while (time.since(begun).compareTo(longest) < 0 && (accepts || server.openConnections() > 0)) {
-            pause();
+            Waiter.blocking().pause(POLL);
             if (accepts && time.since(begun).compareTo(accepting) >= 0) {
                 accepts = false;
                 server.stopAccepting();
@@ -429,14 +430,6 @@
                 .write();
     }
 
-    private static void pause() {
-        try {
-            Thread.sleep(POLL.toMillis());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** Stops at once; requests in progress are cut. */
     public void stop() {
         feeds.forEach(KindFeed::stop);
--- a/daemon/src/main/java/org/knapweedhatch/daemon/Main.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/Main.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.URI;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -22,7 +21,6 @@
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.http.HttpCaller;
 import org.knapweedhatch.ini.Checked;
-import org.knapweedhatch.ini.FaultList;
 import org.knapweedhatch.ini.FileFault;
 import org.knapweedhatch.ini.IniFile;
 import org.knapweedhatch.log.EventLog;
@@ -91,7 +89,7 @@
                     "knapweedhatchd: neither --settings nor " + SETTINGS_VARIABLE + " names a settings file");
             System.exit(WRONG_ARGUMENTS);
         }
-        IniFile file = parsed(path);
+        IniFile file = valid(IniFile.read(path));
         if (FrontSettings.fits(file)) {
             FrontSettings settings = valid(FrontSettings.check(file));
             if (!checkOnly) {
@@ -105,16 +103,6 @@
         }
     }
 
-    private static IniFile parsed(Path path) {
-        try {
-            return valid(IniFile.parse(path.toString(), Files.readAllBytes(path)));
-        } catch (IOException e) {
-            FaultList faults = FaultList.of(path.toString());
-            faults.add(0, "", "cannot be read: " + e.getClass().getSimpleName());
-            return valid(faults.checked());
-        }
-    }
-
     private static <T> T valid(Checked<T> checked) {
         List<FileFault> faults = checked.faults();
         if (!faults.isEmpty()) {
--- a/daemon/src/main/java/org/knapweedhatch/fleet/BackOff.java
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/BackOff.java
@@ -4,7 +4,7 @@
 import java.util.SplittableRandom;
 
 /** Pauses that double with each failure, each drawn between half and the whole of its bound. */
-final class BackOff {
+public final class BackOff {
 
     private static final int MAX_DOUBLINGS = 20;
 
@@ -13,14 +13,15 @@
     private final SplittableRandom random;
     private int failures;
 
-    BackOff(Duration first, Duration max, long seed) {
+    /** Creates pauses from {@code first} to {@code max}; hosts that fail together need seeds of their own. */
+    public BackOff(Duration first, Duration max, long seed) {
         firstNanos = first.toNanos();
         maxNanos = max.toNanos();
         random = new SplittableRandom(seed);
     }
 
     /** Notes a failure and returns the pause after it. */
-    synchronized Duration failed() {
+    public synchronized Duration failed() {
         long doubled = firstNanos << Math.min(failures, MAX_DOUBLINGS);
         failures++;
         long bound = doubled <= 0 ? maxNanos : Math.min(doubled, maxNanos);
@@ -28,11 +29,12 @@
     }
 
     /** Notes a success: the next pause is short again. */
-    synchronized void succeeded() {
+    public synchronized void succeeded() {
         failures = 0;
     }
 
-    synchronized boolean failing() {
+    /** Returns whether the last try failed. */
+    public synchronized boolean failing() {
         return failures > 0;
     }
 }
--- a/daemon/src/main/java/org/knapweedhatch/fleet/Fleet.java
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/Fleet.java
@@ -191,13 +191,8 @@
     }
 
     private void exploreSeeds() {
-        if (!alone()) {
-            return;
-        }
-        for (Address seed : seeds) {
-            if (!seed.equals(self.peer())) {
-                transport.explore(seed, name -> transport.send(membership.introduce(name)));
-            }
+        if (alone()) {
+            transport.explore(seeds, membership::introduce);
         }
     }
 
--- a/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
@@ -97,19 +97,11 @@
             viewed.accept(view);
         }
         if (ticks++ % SEED_TICKS == 0 && view.members().size() < 2) {
-            exploreSeeds();
+            transport.explore(seeds, membership::introduce);
         }
         eachTick.run();
     }
 
-    private void exploreSeeds() {
-        for (Address seed : seeds) {
-            if (!seed.equals(self.peer())) {
-                transport.explore(seed, name -> transport.send(membership.introduce(name)));
-            }
-        }
-    }
-
     private void receive(String from, long incarnation, PeerMessage message) {
         if (message instanceof MemberMessage) {
             membership.receive(from, message).forEach(transport::send);
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.EventLoop;
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -44,6 +43,7 @@
     private ChannelHandlerContext context;
     private CallerRequest receiving;
     private boolean readsNoMore;
+    private boolean closesAfter;
     private long activeNanos;
     private long headBegunNanos;
     private boolean headBegun;
@@ -112,8 +112,6 @@
         }
     }
 
-    private boolean closesAfter;
-
     private void reject(CallerRequest request, Throwable cause) {
         readsNoMore = true;
         boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
@@ -143,25 +141,28 @@
         }
     }
 
-    /** Goes on with a request; where the loop lags, only after a look whether its caller has left meanwhile. */
     private void begin(CallerRequest request) {
-        EventLoop loop = context.channel().eventLoop();
-        if (server.lags()) {
-            server.execute(() -> {
-                if (!callerLeft()) {
-                    request.received(loop);
-                }
-            });
-        } else {
-            request.received(loop);
+        unlessCallerLeft(() -> request.received(context.channel().eventLoop()));
+    }
+
+    /** Takes a step of a request; where the loop lags, only after a look whether the caller has left meanwhile. */
+    void unlessCallerLeft(Runnable step) {
+        if (!server.lags()) {
+            step.run();
+            return;
         }
+        server.execute(() -> {
+            if (!callerLeft()) {
+                step.run();
+            }
+        });
     }
 
     /**
      * Reads what the caller sent last, and returns whether it has closed the connection; not to be called while this
      * connection is being read. A loop that lags gets to read a close long after the request before it.
      */
-    boolean callerLeft() {
+    private boolean callerLeft() {
         Channel channel = context.channel();
         if (channel.isOpen() && channel.unsafe() instanceof NioUnsafe unsafe) {
             unsafe.read();
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -196,17 +196,7 @@
                 return;
             }
             connection = opened;
-            if (server.lags()) {
-                server.execute(this::sendUnlessCallerLeft);
-            } else {
-                send();
-            }
-        }
-
-        private void sendUnlessCallerLeft() {
-            if (!CallerRequest.this.connection.callerLeft()) {
-                send();
-            }
+            CallerRequest.this.connection.unlessCallerLeft(this::send);
         }
 
         private void send() {
--- a/daemon/src/main/java/org/knapweedhatch/front/OwnAnswers.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/OwnAnswers.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import org.knapweedhatch.answer.Reason;
 import org.knapweedhatch.message.HeaderNames;
@@ -40,6 +41,6 @@
 
     /** Returns seconds with three decimals; callers of this interface read fractions. */
     private static String seconds(Duration wait) {
-        return String.format(java.util.Locale.ROOT, "%.3f", wait.toNanos() / 1e9);
+        return String.format(Locale.ROOT, "%.3f", wait.toNanos() / 1e9);
     }
 }
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -171,7 +172,7 @@
             fail("what came is no HTTP answer");
             return;
         }
-        if (response.status().codeClass() == io.netty.handler.codec.http.HttpStatusClass.INFORMATIONAL) {
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipping = true;
             return;
         }
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnections.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnections.java
@@ -60,7 +60,6 @@
     private final HeaderScheme scheme;
     private final TimeSource time;
     private final Map<Peer, Deque<TargetConnection>> idle = new HashMap<>();
-    private long opened;
 
     TargetConnections(EventLoop loop, HeaderScheme scheme, TimeSource time) {
         this.loop = loop;
@@ -85,7 +84,6 @@
     }
 
     private void open(Peer peer, Taker taker) {
-        opened++;
         TargetConnection connection = new TargetConnection(scheme, new Keeper(peer));
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
@@ -126,11 +124,6 @@
         stale.forEach(TargetConnection::close);
     }
 
-    /** Returns how many connections were opened since the start. */
-    long opened() {
-        return opened;
-    }
-
     /** Keeps the connections to one process. */
     private final class Keeper implements TargetConnection.Owner {
         private final Peer peer;
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
@@ -19,6 +19,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -210,6 +211,13 @@
         connect(address, () -> PeerChannel.exploring(this, proved), () -> {});
     }
 
+    /** Connects to whoever listens at some addresses but this host's own, and greets each by its name. */
+    public void explore(List<Address> seeds, Function<String, Outgoing> greeting) {
+        seeds.stream()
+                .filter(seed -> !seed.equals(host.peer()))
+                .forEach(seed -> explore(seed, name -> send(greeting.apply(name))));
+    }
+
     private void connect(Address address, Supplier<PeerChannel> handler, Runnable failed) {
         Bootstrap bootstrap = new Bootstrap()
                 .group(loops)
--- a/daemon/src/main/java/org/knapweedhatch/settings/FrontSettings.java
+++ b/daemon/src/main/java/org/knapweedhatch/settings/FrontSettings.java
@@ -1,7 +1,5 @@
 package org.knapweedhatch.settings;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
@@ -80,13 +78,7 @@
 
     /** Reads and checks a settings file; an unreadable file is a fault of the file. */
     public static Checked<FrontSettings> read(Path file) {
-        try {
-            return IniFile.parse(file.toString(), Files.readAllBytes(file)).then(FrontSettings::check);
-        } catch (IOException e) {
-            FaultList faults = FaultList.of(file.toString());
-            faults.add(0, "", "cannot be read: " + e.getClass().getSimpleName());
-            return faults.checked();
-        }
+        return IniFile.read(file).then(FrontSettings::check);
     }
 
     /** Checks a parsed file; the result lists every fault with its line and field. */
--- a/daemon/src/main/java/org/knapweedhatch/settings/Settings.java
+++ b/daemon/src/main/java/org/knapweedhatch/settings/Settings.java
@@ -1,7 +1,5 @@
 package org.knapweedhatch.settings;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -58,13 +56,7 @@
 
     /** Reads and checks a settings file; an unreadable file is a fault of the file. */
     public static Checked<Settings> read(Path file) {
-        try {
-            return parse(file.toString(), Files.readAllBytes(file));
-        } catch (IOException e) {
-            FaultList faults = FaultList.of(file.toString());
-            faults.add(0, "", "cannot be read: " + e.getClass().getSimpleName());
-            return faults.checked();
-        }
+        return IniFile.read(file).then(Settings::check);
     }
 
     /** Parses and checks settings; the result lists every fault with its line and field. */
--- a/daemon/src/main/java/org/knapweedhatch/store/KindFeed.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/KindFeed.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
+import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.fault.Fault;
 import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.fleet.BackOff;
 import org.knapweedhatch.platform.Changes;
 import org.knapweedhatch.platform.Listing;
 import org.knapweedhatch.platform.ObjectApi;
@@ -27,13 +29,16 @@
     /** Longest pause after failed calls; entries that come back after an outage have to be heard within 2 s. */
     private static final Duration MAX_PAUSE = Duration.ofSeconds(1);
 
+    private static final Waiter WAITER = Waiter.blocking();
+
     private final ObjectApi api;
     private final String prefix;
     private final Sink sink;
     private volatile boolean stopped;
     private boolean listed;
     private long asOf;
-    private int failures;
+    private final BackOff backOff =
+            new BackOff(FIRST_PAUSE, MAX_PAUSE, ThreadLocalRandom.current().nextLong());
 
     /** Takes in what the store holds; called on the feed's thread. */
     public interface Sink {
@@ -72,7 +77,7 @@
 
     @Override
     public void run() {
-        while (!stopped) {
+        while (!stopped && !Thread.currentThread().isInterrupted()) {
             if (listed) {
                 watch();
             } else {
@@ -107,30 +112,19 @@
         asOf = Math.max(asOf, changes.orThrow().asOf());
         if (!changes.orThrow().isEmpty()) {
             sink.changed(changes.orThrow());
-            pause(GATHER);
+            WAITER.pause(GATHER);
         }
     }
 
     private void succeed() {
-        if (failures > 0) {
-            failures = 0;
+        if (backOff.failing()) {
+            backOff.succeeded();
             sink.regained();
         }
     }
 
     private void fail(Fault fault) {
         sink.failed(fault);
-        long bound = Math.min(MAX_PAUSE.toMillis(), FIRST_PAUSE.toMillis() << Math.min(failures, 10));
-        failures++;
-        pause(Duration.ofMillis(ThreadLocalRandom.current().nextLong(bound / 2, bound + 1)));
-    }
-
-    private void pause(Duration span) {
-        try {
-            Thread.sleep(span.toMillis());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            stopped = true;
-        }
+        WAITER.pause(backOff.failed());
     }
 }
--- a/daemon/src/test/java/org/knapweedhatch/daemon/SettingsFollowerTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/daemon/SettingsFollowerTest.java
@@ -18,34 +18,13 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.log.EventLog;
+import org.knapweedhatch.settings.ExampleSettings;
 import org.knapweedhatch.settings.FrontSettings;
 import org.knapweedhatch.world.Terms;
 
 class SettingsFollowerTest {
 
-    private static final String GOOD = String.join(
-            "\n",
-            "[host]",
-            "name = lima-a-1",
-            "region = lima",
-            "failure-domain = lima-a",
-            "edge = 127.0.0.11:8080",
-            "peer = 127.0.0.11:8081",
-            "[listen]",
-            "ready = 127.0.0.11:8082",
-            "directory = 127.0.0.11:8083",
-            "metrics = 127.0.0.11:9464",
-            "[platform]",
-            "address = 127.0.0.1:8500",
-            "heartbeat = 1500ms",
-            "[fleet]",
-            "secret = sixteen-characters-or-more",
-            "seeds = 127.0.0.12:8081",
-            "[domains]",
-            "lima-a = lima",
-            "[terms]",
-            "stop-grace = 6s",
-            "");
+    private static final String GOOD = String.join("\n", ExampleSettings.LINES) + "\n";
 
     @TempDir
     private Path folder;
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -194,8 +195,7 @@
     record Answer(int status, String head, String body) {
         Optional<String> header(String name) {
             return head.lines()
-                    .filter(line -> line.toLowerCase(java.util.Locale.ROOT)
-                            .startsWith(name.toLowerCase(java.util.Locale.ROOT) + ":"))
+                    .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":"))
                     .map(line -> line.substring(line.indexOf(':') + 1).trim())
                     .findFirst();
         }
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
@@ -7,6 +7,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -51,8 +52,7 @@
     }
 
     private ScriptedTarget.Received onlyReceived() {
-        List<ScriptedTarget.Received> all =
-                new java.util.ArrayList<>(front.target(0).received());
+        List<ScriptedTarget.Received> all = new ArrayList<>(front.target(0).received());
         all.addAll(front.target(1).received());
         assertEquals(1, all.size());
         return all.get(0);
--- a/daemon/src/test/java/org/knapweedhatch/settings/FrontSettingsTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/settings/FrontSettingsTest.java
@@ -6,6 +6,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import net.jqwik.api.Arbitraries;
@@ -21,28 +22,7 @@
 
 class FrontSettingsTest {
 
-    private static final List<String> GOOD = List.of(
-            "[host]",
-            "name = lima-a-1",
-            "region = lima",
-            "failure-domain = lima-a",
-            "edge = 127.0.0.11:8080",
-            "peer = 127.0.0.11:8081",
-            "[listen]",
-            "ready = 127.0.0.11:8082",
-            "directory = 127.0.0.11:8083",
-            "metrics = 127.0.0.11:9464",
-            "[platform]",
-            "address = 127.0.0.1:8500",
-            "heartbeat = 1500ms",
-            "[fleet]",
-            "secret = sixteen-characters-or-more",
-            "seeds = 127.0.0.12:8081, 127.0.0.13:8081",
-            "[domains]",
-            "lima-a = lima",
-            "[terms]",
-            "stop-grace = 6s",
-            "region-shift = 0.15");
+    private static final List<String> GOOD = ExampleSettings.LINES;
 
     private static Checked<FrontSettings> check(List<String> lines) {
         byte[] text = String.join("\n", lines).getBytes(StandardCharsets.UTF_8);
@@ -50,7 +30,7 @@
     }
 
     private static List<String> with(int index, String line) {
-        List<String> lines = new java.util.ArrayList<>(GOOD);
+        List<String> lines = new ArrayList<>(GOOD);
         lines.set(index, line);
         return lines;
     }
@@ -68,7 +48,7 @@
 
     @Test
     void everyFaultIsToldAtOnceWithItsLineAndField() {
-        List<String> lines = new java.util.ArrayList<>(GOOD);
+        List<String> lines = new ArrayList<>(GOOD);
         lines.set(4, "edge = nowhere");
         lines.set(12, "heartbeat = soon");
         lines.set(19, "stop-grace = -6s");
