Keep an object's requests at two targets, and late ones out of long queues

Where the first target of an object was busy, its requests spilled to any other target with a free slot, which worked three times as long and forgot another object: bookings ran at 316 ms (p50) against a latency target of 250 ms while all targets together had room. Work times were taken with the wait in them, so a queue counted twice and made more spill. Regions shared their load late.

Now only the first two targets of an object's order get its late requests, a late request waits for at most one usual work, work times come from requests that found a free slot, what a host knows of an object is forgotten after 10 s, and a region sends requests elsewhere from 0.6 of its capacity, at half of the permitted pace.

--- a/core/src/main/java/org/knapweedhatch/place/Gauge.java
+++ b/core/src/main/java/org/knapweedhatch/place/Gauge.java
@@ -1,5 +1,6 @@
 package org.knapweedhatch.place;
 
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.knapweedhatch.helper.Hashes;
@@ -15,14 +16,17 @@
     /** Objects that are remembered as handled; more than a target keeps at hand. */
     private static final int MAX_OBJECTS = 1_024;
 
+    /** Time after which a target has probably put an object aside for others; half of them were after 5 s to 10 s. */
+    private static final long KEPT = Duration.ofSeconds(10).toNanos();
+
     private final int key;
     private final TargetHealth health = new TargetHealth();
     private final ColdGate coldGate = new ColdGate();
-    private final Map<String, Boolean> objects = new LinkedHashMap<>(16, 0.75f, true) {
+    private final Map<String, Long> objects = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
             return size() > MAX_OBJECTS;
         }
     };
@@ -66,14 +70,15 @@
         outstanding--;
     }
 
-    /** Returns whether the target has handled an object for this host. */
-    boolean knows(String object) {
-        return object.isEmpty() || objects.get(object) != null;
+    /** Returns whether the target has handled an object for this host so lately that it still has it at hand. */
+    boolean knows(String object, long nowNanos) {
+        Long handled = objects.get(object);
+        return object.isEmpty() || handled != null && nowNanos - handled < KEPT;
     }
 
-    void handled(String object) {
+    void handled(String object, long nowNanos) {
         if (!object.isEmpty()) {
-            objects.put(object, Boolean.TRUE);
+            objects.put(object, nowNanos);
         }
     }
 
--- a/core/src/main/java/org/knapweedhatch/place/Placer.java
+++ b/core/src/main/java/org/knapweedhatch/place/Placer.java
@@ -16,7 +16,7 @@
  * <pre>{@code
  * Placement placement = placer.place(ask);
  * if (placement instanceof Placement.Sent sent) {
- *     placer.ended(sent.target(), ask.object(), Ending.ANSWERED, tookNanos);
+ *     placer.ended(sent, ask.object(), Ending.ANSWERED, tookNanos);
  * }
  * }</pre>
  *
@@ -62,9 +62,9 @@
     }
 
     /** Takes in how a placed request ended; returns whether the target is back after it was unreachable. */
-    public boolean ended(KnownTarget target, String object, Ending ending, long tookNanos) {
-        ServicePool pool = pools.get(target.target().service());
-        return pool != null && pool.ended(target, object, ending, tookNanos);
+    public boolean ended(Placement.Sent sent, String object, Ending ending, long tookNanos) {
+        ServicePool pool = pools.get(sent.target().target().service());
+        return pool != null && pool.ended(sent, object, ending, tookNanos);
     }
 
     /** Does what is due by time; to be called several times a second. */
--- a/core/src/main/java/org/knapweedhatch/place/RegionPlan.java
+++ b/core/src/main/java/org/knapweedhatch/place/RegionPlan.java
@@ -12,8 +12,12 @@
  */
 final class RegionPlan {
 
-    /** Part of the own region's capacity up to which its callers are served there; above it queues grow fast. */
-    private static final double COMFORTABLE = 0.75;
+    /**
+     * Part of the own region's capacity up to which its callers are served there; requests for one object meet at one
+     * target, so queues grow from here on. Of 0.5 to 0.75, played at one to three and a half times a quiet day's load,
+     * this serves callers best at the least traffic between regions.
+     */
+    private static final double COMFORTABLE = 0.6;
 
     /** Part of all capacity that is assumed to be asked for before demand is measured. */
     private static final double ASSUMED_LOAD = 0.6;
@@ -30,7 +34,7 @@
     private static final double SHIFT_WINDOW_NANOS = Duration.ofSeconds(2).toNanos();
 
     /** Part of the bound that one service uses; callers that move between regions take the rest. */
-    private static final double USED = 0.4;
+    private static final double USED = 0.5;
 
     private final DoubleSupplier shiftPerWindow;
     private double share;
--- a/core/src/main/java/org/knapweedhatch/place/ServicePool.java
+++ b/core/src/main/java/org/knapweedhatch/place/ServicePool.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,8 +17,8 @@
  * The targets of one service, and the choice among them for one request at a time.
  *
  * <p>Each object prefers the targets in an order of its own, the same on every host, so that few targets have to learn
- * it. The first of them that answers in time is taken; where none does, the first with a free slot; where none has one,
- * the one with the shortest forecast. Safe for use by many threads.
+ * it. The first of them that answers in time is taken; what {@link Candidate} says decides where none does. Safe for
+ * use by many threads.
  */
 final class ServicePool {
 
@@ -48,25 +49,6 @@
     private List<Gauge> open = List.of();
     private double coldRate;
 
-    /** A target as it stands for one request. */
-    private record Candidate(
-            Gauge gauge, int rank, int busy, double waitNanos, double forecastNanos, boolean lastResort) {
-
-        /** Class of targets that neither answer in time nor have a free slot. */
-        static final int CROWDED = 2;
-
-        /** Returns the class in which the target is tried; lower ones go first. */
-        int preference(double inAimNanos) {
-            if (lastResort) {
-                return CROWDED + 1;
-            }
-            if (forecastNanos <= inAimNanos) {
-                return 0;
-            }
-            return waitNanos == 0 ? 1 : CROWDED;
-        }
-    }
-
     /** A target with its draw for one object; drawn once, since hashing weighs more than comparing. */
     private record Drawn(Gauge gauge, boolean far, double draw) {
         static final Comparator<Drawn> ORDER = Comparator.comparing(Drawn::far)
@@ -120,9 +102,6 @@
         }
         List<Candidate> candidates = candidates(ask, inRegion(ask, usable), now);
         for (Candidate candidate : inPreference(ask, candidates)) {
-            if (candidate.forecastNanos() > ask.left().toNanos()) {
-                continue;
-            }
             if (passes(candidate.gauge(), now)) {
                 candidate.gauge().sent();
                 return new Placement.Sent(
@@ -139,17 +118,18 @@
         return wait.compareTo(SHORTEST_RETRY) < 0 ? SHORTEST_RETRY : wait;
     }
 
-    /**
-     * Returns candidates in the order in which they are tried: first those that answer in time for full use, in the
-     * object's order; then those with a free slot, which learn the object; then by forecast.
-     */
-    private static List<Candidate> inPreference(Ask ask, List<Candidate> candidates) {
-        double inAim = ask.inAim().toNanos();
-        Comparator<Candidate> byPreference = Comparator.comparingInt(candidate -> candidate.preference(inAim));
-        return candidates.stream()
-                .sorted(byPreference.thenComparingDouble(candidate ->
-                        candidate.preference(inAim) < Candidate.CROWDED ? candidate.rank() : candidate.forecastNanos()))
-                .toList();
+    /** Returns the candidates that are to get a request, in the order in which they are tried. */
+    private List<Candidate> inPreference(Ask ask, List<Candidate> candidates) {
+        Map<Fit, List<Candidate>> byFit = new EnumMap<>(Fit.class);
+        for (Candidate candidate : candidates) {
+            byFit.computeIfAbsent(candidate.fit(ask, work.usualNanos()), fit -> new ArrayList<>())
+                    .add(candidate);
+        }
+        byFit.remove(Fit.NONE);
+        List<Candidate> ordered = new ArrayList<>();
+        byFit.forEach(
+                (fit, some) -> some.stream().sorted(Candidate.orderWithin(fit)).forEach(ordered::add));
+        return ordered;
     }
 
     /** Returns the targets that may run a request; where all of them are suspect, none is taken to be. */
@@ -203,8 +183,11 @@
                 .sorted(Drawn.ORDER)
                 .toList();
         List<Candidate> candidates = new ArrayList<>();
-        for (int rank = 0; rank < ordered.size(); rank++) {
-            candidates.add(candidate(ask, ordered.get(rank).gauge(), rank, now));
+        int rank = 0;
+        for (Drawn drawn : ordered) {
+            Candidate candidate = candidate(ask, drawn.gauge(), rank, now);
+            candidates.add(candidate);
+            rank += candidate.lastResort() ? 0 : 1;
         }
         return candidates;
     }
@@ -218,12 +201,12 @@
         int busy = busy(gauge);
         double wait = Math.max(0, busy - gauge.slots() + 1) * work.usualNanos() / gauge.slots();
         // The first target of an object's order is where other hosts send it too, so it knows the object.
-        boolean known = rank == 0 || gauge.knows(ask.object());
+        boolean known = rank == 0 || gauge.knows(ask.object(), now);
         boolean cold = gauge.target().isCold(now);
         double own = cold ? work.nanos(false) * COLD_FACTOR : work.nanos(known);
         double forecast = wait + own + context.distance(gauge.domain(), gauge.region());
-        return new Candidate(
-                gauge, rank, busy, wait, forecast, cold || gauge.health().avoided(now));
+        boolean lastResort = cold || gauge.health().avoided(now);
+        return new Candidate(gauge, rank, busy, wait, forecast, lastResort);
     }
 
     private int busy(Gauge gauge) {
@@ -250,20 +233,23 @@
     }
 
     /** Takes in how a request that was placed ended; returns whether the target is back after it was unreachable. */
-    synchronized boolean ended(KnownTarget target, String object, Ending ending, long tookNanos) {
+    synchronized boolean ended(Placement.Sent sent, String object, Ending ending, long tookNanos) {
+        KnownTarget target = sent.target();
+        long now = context.time().nanos();
         Gauge gauge = gauges.get(id(target));
         if (gauge == null) {
             return false;
         }
         gauge.ended();
         if (ending == Ending.ANSWERED) {
-            boolean cold = target.isCold(context.time().nanos());
-            if (!cold) {
-                work.add(gauge.knows(object), tookNanos);
+            // A request that waited there says nothing of how long the work takes.
+            if (!target.isCold(now) && sent.waitNanos() == 0) {
+                double way = context.distance(gauge.domain(), gauge.region());
+                work.add(gauge.knows(object, now), Math.max(0, tookNanos - (long) way));
             }
-            gauge.handled(object);
+            gauge.handled(object, now);
         }
-        return gauge.health().ended(ending, context.time().nanos());
+        return gauge.health().ended(ending, now);
     }
 
     /** Moves what goes to other regions by demand and capacity. */
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -135,7 +135,7 @@
                 .put("candidates", place.candidates())
                 .put("tries", tried.size())
                 .write();
-        attempt = new Attempt(place.target());
+        attempt = new Attempt(place);
         attempt.begin();
     }
 
@@ -174,14 +174,16 @@
 
     /** One try to have the request run by a target. */
     private final class Attempt implements TargetConnections.Taker, TargetConnection.Listener {
+        private final Placement.Sent place;
         private final KnownTarget target;
         private final long begunNanos = context.time().nanos();
         private TargetConnection connection;
         private boolean sending;
         private boolean over;
 
-        Attempt(KnownTarget target) {
-            this.target = target;
+        Attempt(Placement.Sent place) {
+            this.place = place;
+            target = place.target();
         }
 
         void begin() {
@@ -265,7 +267,7 @@
             over = true;
             long tookNanos = context.time().nanos() - begunNanos;
             context.meters().attempt(admitted.service(), ending, tookNanos);
-            if (context.placer().ended(target, object(), ending, tookNanos)) {
+            if (context.placer().ended(place, object(), ending, tookNanos)) {
                 context.targetIsBack(target.name());
             }
         }
