Count the time for which a lagging loop may have left a request unread

Ruled out: the look at the caller's socket before a send, which was made; a request that waits in a connection not yet accepted is read before its close.

A request's patience now ends earlier by the loop's greatest lag of the last two seconds, so that one that may be older than its caller's patience is refused as not run. The test read 200 for such a request before, 503 now.

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -103,7 +103,8 @@
         Duration timeout = admitted.route().handling().timeout();
         Duration patience =
                 callersPatience().filter(p -> p.compareTo(timeout) < 0).orElse(timeout);
-        giveUpNanos = arrivedNanos + patience.toNanos();
+        // A caller counts from when it sent the request, which a loop that lags reads late.
+        giveUpNanos = arrivedNanos + patience.toNanos() - server.mayHaveWaitedNanos();
         giveUp = loop.schedule(this::expire, giveUpNanos - context.time().nanos(), TimeUnit.NANOSECONDS);
         place();
     }
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -155,6 +155,11 @@
         return lag.isHigh();
     }
 
+    /** Returns for how long what is read now may have waited to be read, in nanoseconds; 0 while the loop keeps up. */
+    long mayHaveWaitedNanos() {
+        return lag.peakNanos();
+    }
+
     /** Stops at once; what is in progress is cut. */
     public void stop() {
         stopAccepting();
--- a/daemon/src/main/java/org/knapweedhatch/front/LoopLag.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/LoopLag.java
@@ -18,7 +18,7 @@
     private final TimeSource time;
     private long lastNanos;
     private long highNanos;
-    private boolean wasHigh;
+    private long peakNanos;
 
     LoopLag(TimeSource time) {
         this.time = time;
@@ -27,16 +27,28 @@
 
     void tick() {
         long now = time.nanos();
-        if (now - lastNanos - TICK.toNanos() > HIGH_NANOS) {
+        long late = now - lastNanos - TICK.toNanos();
+        if (late > HIGH_NANOS) {
+            peakNanos = Math.max(late, remembered(now));
             highNanos = now;
-            wasHigh = true;
         }
         lastNanos = now;
     }
 
+    private long remembered(long now) {
+        return now - highNanos < REMEMBERED_NANOS ? peakNanos : 0;
+    }
+
     boolean isHigh() {
+        return peakNanos() > 0;
+    }
+
+    /**
+     * Returns the greatest lag now and lately, in nanoseconds: what is read now may have waited so long; 0 if small.
+     */
+    long peakNanos() {
         long now = time.nanos();
-        boolean late = now - lastNanos - TICK.toNanos() > HIGH_NANOS;
-        return late || wasHigh && now - highNanos < REMEMBERED_NANOS;
+        long late = now - lastNanos - TICK.toNanos();
+        return Math.max(late > HIGH_NANOS ? late : 0, remembered(now));
     }
 }
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
@@ -131,6 +131,25 @@
         assertEquals(1, front.sent("/safe/leaves"));
     }
 
+    @Test
+    void requestThatWasReadAfterItsCallersPatienceIsRefusedAndNotSent() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch written = new CountDownLatch(1);
+        FrontFixture.Caller caller = front.new Caller();
+        caller.send(get("/safe/first", "id-0"));
+        assertEquals(200, caller.read().status());
+        front.server().execute(() -> {
+            held.countDown();
+            await(written);
+            stall(400);
+        });
+        await(held);
+        caller.send(FrontFixture.request("GET", "/safe/old", "id-1", HEADERS.deadlineMs() + ": 250\r\n", ""));
+        written.countDown();
+        assertEquals(503, caller.read().status());
+        assertEquals(0, front.sent("/safe/old"));
+    }
+
     /** Leaves several idle connections to each target, and the callers' own open. */
     private void openTargetConnections(List<FrontFixture.Caller> callers) throws IOException {
         for (FrontFixture.Caller caller : callers) {
