--- a/core/src/main/java/org/knapweedhatch/report/FleetPace.java
+++ b/core/src/main/java/org/knapweedhatch/report/FleetPace.java
@@ -11,7 +11,10 @@
     /** Time between two reports in a small fleet; about the time in which the load of a target changes. */
     private static final Duration USUAL = Duration.ofMillis(200);
 
-    /** Reports that one host sends and hears in a second at most: about 2 % of a core at 0.2 ms for both. */
+    /**
+     * Reports that one host sends and hears in a second at most: 1 % of a core at 0.13 ms for both, see
+     * docs/CAPACITY.md.
+     */
     private static final int MOST_PER_SECOND = 80;
 
     /** Longest time between two reports; older ones tell too little of the load. */
