--- a/core/src/main/java/org/knapweedhatch/place/RegionPlan.java
+++ b/core/src/main/java/org/knapweedhatch/place/RegionPlan.java
@@ -13,9 +13,8 @@
 final class RegionPlan {
 
     /**
-     * Part of the own region's capacity up to which its callers are served there; requests for one object meet at one
-     * target, so queues grow from here on. Of 0.5 to 0.75, played at one to three and a half times a quiet day's load,
-     * this serves callers best at the least traffic between regions.
+     * Part of the own region's capacity up to which its callers are served there. All requests for one object meet at one
+     * target, so some targets queue from here on; see docs/design/platform.md for what was played.
      */
     private static final double COMFORTABLE = 0.6;
 
--- a/core/src/test/java/org/knapweedhatch/place/LoadModel.java
+++ b/core/src/test/java/org/knapweedhatch/place/LoadModel.java
@@ -114,8 +114,8 @@
         @Override
         public String toString() {
             return String.format(
-                    "credit %.3f worst region %.3f; of %d asked %.3f in aim, %.3f late, %.3f refused, %.3f refused again,"
-                            + " %.3f failed; %.3f of runs cold",
+                    "credit %.3f worst region %.3f; of %d asked %.3f in aim, %.3f late, %.3f refused,"
+                            + " %.3f refused again, %.3f failed; %.3f of runs cold",
                     credit(),
                     worstRegion(),
                     asked,
