--- a/core/src/main/java/org/knapweedhatch/place/RegionPlan.java
+++ b/core/src/main/java/org/knapweedhatch/place/RegionPlan.java
@@ -13,8 +13,8 @@
 final class RegionPlan {
 
     /**
-     * Part of the own region's capacity up to which its callers are served there. All requests for one object meet at one
-     * target, so some targets queue from here on; see docs/design/platform.md for what was played.
+     * Part of the own region's capacity up to which its callers are served there. All requests for one object meet at
+     * one target, so some targets queue from here on; see docs/design/platform.md for what was played.
      */
     private static final double COMFORTABLE = 0.6;
 
