Wait for the first listing in a test before the store is changed

The test wrote its first object without waiting for the feed's first listing, as its two siblings do; a feed that starts late lists the object and has no change to tell. The checks are the same, with one more.

--- a/daemon/src/test/java/org/knapweedhatch/store/KindFeedTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/KindFeedTest.java
@@ -88,6 +88,7 @@
 
     @Test
     void whatChangedInAnOutageIsListedAfterIt() throws InterruptedException {
+        heard.await("listed []");
         StoredObject a = create("a");
         heard.await("changed [things/a]");
         store.down(true);
