Log how long connections wait to be accepted, failed accepts, and when the loop lags

A request that was read late could not be told apart by cause. Lines sent carry queuedMs (how long the connection may have waited to be accepted) and lagMs; lines accept and loop tell when the listener fails and when the event loop lags; a gauge counts failed accepts. No decision is changed.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -169,6 +169,10 @@
         metrics.gauge("members", "Hosts that this host knows", () -> hosts.count());
         metrics.gauge("hosts_heard", "Hosts whose reports are fresh", reports::heardHosts);
         metrics.gauge("caller_connections", "Open connections of callers", server::openConnections);
+        metrics.gauge(
+                "failed_accepts",
+                "Times that a caller's connection could not be accepted since the start",
+                server::failedAccepts);
         metrics.gauge("log_lines", "Log lines written since the start", log::written);
         metrics.gauge("log_lines_dropped", "Log lines left out since the start", log::dropped);
         metrics.gauge(
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/front/AcceptQueue.java
@@ -0,0 +1,99 @@
+package org.knapweedhatch.front;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.time.Duration;
+import java.util.concurrent.atomic.LongAdder;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.log.EventLog;
+import org.knapweedhatch.log.LineKind;
+
+/**
+ * Tells for how long connections may have waited to be accepted, from when the listener was last seen to have none that
+ * wait; for use on the listener's event loop.
+ */
+final class AcceptQueue extends ChannelInboundHandlerAdapter {
+
+    /** Connections that are accepted in one turn of the loop. */
+    static final int MAX_PER_TURN = 16;
+
+    private final TimeSource time;
+    private final EventLog log;
+    private final LongAdder failures = new LongAdder();
+    private int accepted;
+    private long emptyNanos;
+    private long emptyBeforeNanos;
+    private long tickNanos;
+    private boolean readSinceTick;
+    private boolean failing;
+    private long failedNanos;
+
+    AcceptQueue(TimeSource time, EventLog log) {
+        this.time = time;
+        this.log = log;
+        emptyNanos = time.nanos();
+        emptyBeforeNanos = emptyNanos;
+        tickNanos = emptyNanos;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object connection) {
+        accepted++;
+        ctx.fireChannelRead(connection);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        emptyBeforeNanos = emptyNanos;
+        if (accepted < MAX_PER_TURN) {
+            emptyNanos = time.nanos();
+        }
+        if (failing && accepted > 0) {
+            failing = false;
+            log.line(LineKind.ACCEPT)
+                    .put("outcome", "accepting again")
+                    .putNanos("awayMs", time.nanos() - failedNanos)
+                    .write();
+        }
+        accepted = 0;
+        readSinceTick = true;
+        ctx.fireChannelReadComplete();
+    }
+
+    /** Follows {@link #channelReadComplete} where a connection could not be accepted. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        emptyNanos = emptyBeforeNanos;
+        failures.increment();
+        if (!failing) {
+            failing = true;
+            failedNanos = time.nanos();
+            log.line(LineKind.ACCEPT)
+                    .put("outcome", "failed")
+                    .put("why", String.valueOf(cause.getMessage()))
+                    .putNanos("sinceEmptyMs", sinceEmptyNanos())
+                    .write();
+        }
+        ctx.fireExceptionCaught(cause);
+    }
+
+    /** Notes that the loop looked for connections since the last tick and, unless it accepted some, found none. */
+    void tick() {
+        long now = time.nanos();
+        if (!readSinceTick && !failing && now - tickNanos > Duration.ofMillis(1).toNanos()) {
+            emptyNanos = tickNanos;
+        }
+        readSinceTick = false;
+        tickNanos = now;
+    }
+
+    /** Returns for how long a connection that is accepted now may have waited, in nanoseconds. */
+    long sinceEmptyNanos() {
+        return time.nanos() - emptyNanos;
+    }
+
+    /** Returns how often a connection could not be accepted since the start. */
+    long failures() {
+        return failures.sum();
+    }
+}
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -44,6 +44,7 @@
     private CallerRequest receiving;
     private boolean readsNoMore;
     private boolean closesAfter;
+    private final long queuedNanos;
     private long activeNanos;
     private long headBegunNanos;
     private boolean headBegun;
@@ -52,6 +53,12 @@
         this.server = server;
         limits = server.context().configuration().callerLimits();
         activeNanos = server.context().time().nanos();
+        queuedNanos = server.mayHaveQueuedNanos();
+    }
+
+    /** Returns for how long the connection may have waited to be accepted, in nanoseconds. */
+    long queuedNanos() {
+        return queuedNanos;
     }
 
     @Override
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -135,6 +135,8 @@
                 .putNanos("waitMs", place.waitNanos())
                 .put("candidates", place.candidates())
                 .put("tries", tried.size())
+                .putNanos("queuedMs", connection.queuedNanos())
+                .putNanos("lagMs", server.mayHaveWaitedNanos())
                 .write();
         attempt = new Attempt(place);
         attempt.begin();
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -58,12 +58,14 @@
     private final TargetConnections connections;
     private final Set<CallerConnection> callers = new HashSet<>();
     private final LoopLag lag;
+    private final AcceptQueue acceptQueue;
     private volatile Channel listener;
 
     private FrontServer(FrontContext context) {
         this.context = context;
         admission = new Admission(context);
-        lag = new LoopLag(context.time());
+        lag = new LoopLag(context.time(), context.log());
+        acceptQueue = new AcceptQueue(context.time(), context.log());
         forwardHeaders = ForwardHeaders.of(context.headers());
         connections = new TargetConnections(loop, context.headers(), context.time());
     }
@@ -73,7 +75,7 @@
         FrontServer server = new FrontServer(context);
         server.loop.scheduleWithFixedDelay(server::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         server.loop.scheduleAtFixedRate(
-                server.lag::tick, LoopLag.TICK.toMillis(), LoopLag.TICK.toMillis(), TimeUnit.MILLISECONDS);
+                server::tick, LoopLag.TICK.toMillis(), LoopLag.TICK.toMillis(), TimeUnit.MILLISECONDS);
         return server;
     }
 
@@ -85,6 +87,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .handler(acceptQueue)
                 .childHandler(new Pipeline())
                 .bind(address.socket())
                 .awaitUninterruptibly();
@@ -95,6 +98,11 @@
         listener = bound.channel();
     }
 
+    private void tick() {
+        lag.tick();
+        acceptQueue.tick();
+    }
+
     private void sweep() {
         long now = context.time().nanos();
         long idle = context.configuration()
@@ -132,6 +140,16 @@
         return callers.size();
     }
 
+    /** Returns how often a connection of a caller could not be accepted since the start. */
+    public long failedAccepts() {
+        return acceptQueue.failures();
+    }
+
+    /** Returns for how long a connection that is accepted now may have waited, in nanoseconds. */
+    long mayHaveQueuedNanos() {
+        return acceptQueue.sinceEmptyNanos();
+    }
+
     /** Closes the connections on which nothing is in progress. */
     public void closeIdle() {
         loop.execute(() ->
--- a/daemon/src/main/java/org/knapweedhatch/front/LoopLag.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/LoopLag.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.log.EventLog;
+import org.knapweedhatch.log.LineKind;
 
 /** Tells whether an event loop lags behind, from how late its own timer fires; for use on that loop. */
 final class LoopLag {
@@ -16,12 +18,15 @@
     private static final long REMEMBERED_NANOS = Duration.ofSeconds(2).toNanos();
 
     private final TimeSource time;
+    private final EventLog log;
+    private boolean told;
     private long lastNanos;
     private long highNanos;
     private long peakNanos;
 
-    LoopLag(TimeSource time) {
+    LoopLag(TimeSource time, EventLog log) {
         this.time = time;
+        this.log = log;
         lastNanos = time.nanos();
     }
 
@@ -33,6 +38,17 @@
             highNanos = now;
         }
         lastNanos = now;
+        tell(late);
+    }
+
+    private void tell(long late) {
+        if (isHigh() != told) {
+            told = !told;
+            log.line(LineKind.LOOP)
+                    .put("outcome", told ? "lags" : "keeps up")
+                    .putNanos("lateMs", late)
+                    .write();
+        }
     }
 
     private long remembered(long now) {
--- a/daemon/src/main/java/org/knapweedhatch/log/LineKind.java
+++ b/daemon/src/main/java/org/knapweedhatch/log/LineKind.java
@@ -16,6 +16,10 @@
     EVACUATION(20),
     /** Another host was met, leaves, or fell silent. */
     HOST(100),
+    /** The event loop of callers' connections began to lag, or keeps up again. */
+    LOOP(20),
+    /** Callers' connections could not be accepted, or can be again. */
+    ACCEPT(20),
     /** A request was admitted and sent to a target. */
     SENT(400),
     /** A request was answered with a target's answer. */
