Add tests of callers that leave before their requests are sent, known red

Five ways in which a request waits unseen before it is sent: a failed accept, the pause after it, a close in the same read, a step that takes long but is no lag, and more connections than a turn accepts.

--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -10,6 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -50,6 +52,7 @@
     private static final int MAX_CHUNK_BYTES = 65_536;
 
     private final FrontContext context;
+    private final ChannelFactory<? extends ServerChannel> listeners;
     private final EventLoopGroup loops =
             new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("front", true), NioIoHandler.newFactory());
     private final EventLoop loop = loops.next();
@@ -61,8 +64,9 @@
     private final AcceptQueue acceptQueue;
     private volatile Channel listener;
 
-    private FrontServer(FrontContext context) {
+    private FrontServer(FrontContext context, ChannelFactory<? extends ServerChannel> listeners) {
         this.context = context;
+        this.listeners = listeners;
         admission = new Admission(context);
         lag = new LoopLag(context.time(), context.log());
         acceptQueue = new AcceptQueue(context.time(), context.log());
@@ -72,7 +76,12 @@
 
     /** Creates a server that does not listen yet. */
     public static FrontServer of(FrontContext context) {
-        FrontServer server = new FrontServer(context);
+        return of(context, NioServerSocketChannel::new);
+    }
+
+    /** Creates a server whose listener comes from a factory. */
+    static FrontServer of(FrontContext context, ChannelFactory<? extends ServerChannel> listeners) {
+        FrontServer server = new FrontServer(context, listeners);
         server.loop.scheduleWithFixedDelay(server::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         server.loop.scheduleAtFixedRate(
                 server::tick, LoopLag.TICK.toMillis(), LoopLag.TICK.toMillis(), TimeUnit.MILLISECONDS);
@@ -83,7 +92,7 @@
     public void listen(Address address) {
         ChannelFuture bound = new ServerBootstrap()
                 .group(loops)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(listeners)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -168,6 +177,11 @@
         loop.execute(task);
     }
 
+    /** Runs something on the event loop after a delay. */
+    void executeLater(Runnable task, Duration delay) {
+        loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
     /** Returns whether the event loop lately lagged behind, so that what it reads may be old. */
     boolean lags() {
         return lag.isHigh();
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -1,5 +1,8 @@
 package org.knapweedhatch.front;
 
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -71,12 +74,16 @@
     volatile Runnable onSentFirst = () -> {};
 
     FrontFixture(int count) throws IOException {
+        this(count, NioServerSocketChannel::new);
+    }
+
+    FrontFixture(int count, ChannelFactory<? extends ServerChannel> listeners) throws IOException {
         log = EventLog.start(lines, "test", time);
         for (int i = 0; i < count; i++) {
             targets.add(ScriptedTarget.start());
         }
         configure(builder -> builder);
-        server = FrontServer.of(this);
+        server = FrontServer.of(this, listeners);
         address = new Address("127.0.0.1", freePort());
         server.listen(address);
     }
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
@@ -0,0 +1,184 @@
+package org.knapweedhatch.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+
+/** Callers that leave before their requests are sent, by where the time until then has gone. */
+class LeavingCallersTest {
+
+    /** Callers give a connection up that is not served within a second. */
+    private static final Duration CALLERS_WAIT = Duration.ofSeconds(1);
+
+    private final AtomicBoolean full = new AtomicBoolean();
+    private FrontFixture front;
+
+    @AfterEach
+    void stop() throws IOException {
+        front.close();
+    }
+
+    /** A listener that fails while the process may open no more files. */
+    private final class FullListener extends NioServerSocketChannel {
+        @Override
+        protected int doReadMessages(List<Object> accepted) throws Exception {
+            if (full.get()) {
+                throw new IOException("Too many open files");
+            }
+            return super.doReadMessages(accepted);
+        }
+    }
+
+    private static String get(String path) {
+        return FrontFixture.request("GET", path, "id-" + path, "", "");
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(20, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Opens a connection, sends a request and leaves. */
+    private void callAndLeave(String path) throws IOException {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(get(path));
+        }
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = "known.red", matches = "true", disabledReason = "listed in KNOWN-RED.txt")
+    void requestOfACallerThatLeftWhileNothingCouldBeAcceptedIsNotSent() throws IOException {
+        front = new FrontFixture(2, FullListener::new);
+        full.set(true);
+        callAndLeave("/safe/left");
+        sleep(100);
+        full.set(false);
+        assertEquals(200, front.call("GET", "/safe/after").status());
+        assertEquals(0, front.sent("/safe/left"));
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = "known.red", matches = "true", disabledReason = "listed in KNOWN-RED.txt")
+    void callersAreAcceptedWithinTheirWaitOnceDescriptorsAreFreeAgain() throws IOException {
+        front = new FrontFixture(2, FullListener::new);
+        full.set(true);
+        callAndLeave("/safe/left");
+        sleep(100);
+        full.set(false);
+        long freed = System.nanoTime();
+        assertEquals(200, front.call("GET", "/safe/after").status());
+        long tookNanos = System.nanoTime() - freed;
+        // Half of the wait is left for the way to the host and its work.
+        assertTrue(tookNanos < CALLERS_WAIT.toNanos() / 2, "accepted after " + tookNanos / 1e6 + " ms");
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = "known.red", matches = "true", disabledReason = "listed in KNOWN-RED.txt")
+    void requestThatIsReadTogetherWithItsCallersCloseIsNotSent() throws IOException {
+        front = new FrontFixture(2);
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch left = new CountDownLatch(1);
+        front.server().execute(() -> {
+            held.countDown();
+            await(left);
+        });
+        await(held);
+        callAndLeave("/safe/left");
+        left.countDown();
+        assertEquals(200, front.call("GET", "/safe/after").status());
+        assertEquals(0, front.sent("/safe/left"));
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = "known.red", matches = "true", disabledReason = "listed in KNOWN-RED.txt")
+    void requestOfACallerThatLeftBetweenReadingAndSendingIsNotSentThoughTheLoopDoesNotLag() throws Exception {
+        front = new FrontFixture(2);
+        assertEquals(200, front.call("GET", "/safe/before").status());
+        FrontFixture.await("the loop keeps up", () -> !front.server().lags());
+        AtomicBoolean lagged = new AtomicBoolean();
+        AtomicBoolean first = new AtomicBoolean(true);
+        FrontFixture.Caller caller = front.new Caller();
+        front.onSpend = () -> {
+            if (first.getAndSet(false)) {
+                close(caller);
+                sleep(70);
+                lagged.set(front.server().lags());
+            }
+        };
+        caller.send(get("/safe/left"));
+        FrontFixture.await("read", () -> !first.get());
+        assertEquals(200, front.call("GET", "/safe/after").status());
+        assertFalse(lagged.get(), "the loop lagged");
+        assertEquals(0, front.sent("/safe/left"));
+    }
+
+    private static void close(FrontFixture.Caller caller) {
+        try {
+            caller.close();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Makes each turn of the loop take longer, but less than what counts as a lag. */
+    private void slowTurns() {
+        front.server()
+                .executeLater(
+                        () -> {
+                            sleep(70);
+                            slowTurns();
+                        },
+                        Duration.ofMillis(1));
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = "known.red", matches = "true", disabledReason = "listed in KNOWN-RED.txt")
+    void callersThatComeAtOnceAreAllReadWithinTheirWaitThoughTurnsOfTheLoopAreSlow() throws IOException {
+        front = new FrontFixture(2);
+        List<FrontFixture.Caller> callers = new ArrayList<>();
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch here = new CountDownLatch(1);
+        front.server().execute(() -> {
+            held.countDown();
+            await(here);
+        });
+        await(held);
+        for (int i = 0; i < 400; i++) {
+            FrontFixture.Caller caller = front.new Caller();
+            caller.send(get("/none/" + i));
+            callers.add(caller);
+        }
+        slowTurns();
+        long released = System.nanoTime();
+        here.countDown();
+        for (FrontFixture.Caller caller : callers) {
+            assertEquals(404, caller.read().status());
+            caller.close();
+        }
+        long tookNanos = System.nanoTime() - released;
+        assertTrue(tookNanos < CALLERS_WAIT.toNanos(), "read after " + tookNanos / 1e6 + " ms");
+    }
+}
