Look whether the caller has left before each send, whatever the loop's lag

The time had passed before the first byte was read, while connections waited to be accepted (queuedMs of 1.0 to 1.8 s before sends whose callers had gone, with a lag of 0 to 169 ms). The look for a close was taken only while the loop's timer fired late, so it was left out.

A request now starts after all is read that came with it, reading goes on until the socket is empty, and a step that is due more than 50 ms after the last look looks again.

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -37,6 +38,11 @@
     /** Requests that may be in progress on one connection; reading pauses beyond them. */
     private static final int MAX_PIPELINED = 32;
 
+    /**
+     * A look at a connection counts for so long; a tenth of the half second in which work for a caller that left ends.
+     */
+    private static final Duration LOOK_COUNTS = Duration.ofMillis(50);
+
     private final FrontServer server;
     private final CallerLimits limits;
     private final Deque<CallerRequest> pending = new ArrayDeque<>();
@@ -46,6 +52,7 @@
     private boolean closesAfter;
     private final long queuedNanos;
     private long activeNanos;
+    private long lookedNanos;
     private long headBegunNanos;
     private boolean headBegun;
 
@@ -53,6 +60,7 @@
         this.server = server;
         limits = server.context().configuration().callerLimits();
         activeNanos = server.context().time().nanos();
+        lookedNanos = activeNanos - LOOK_COUNTS.toNanos();
         queuedNanos = server.mayHaveQueuedNanos();
     }
 
@@ -148,35 +156,36 @@
         }
     }
 
+    /** Starts a request once all that the caller sent with it is read: a close may follow in the same read. */
     private void begin(CallerRequest request) {
-        unlessCallerLeft(() -> request.received(context.channel().eventLoop()));
+        server.execute(
+                () -> unlessCallerLeft(() -> request.received(context.channel().eventLoop())));
     }
 
-    /** Takes a step of a request; where the loop lags, only after a look whether the caller has left meanwhile. */
+    /** Takes a step of a request unless its caller has left; not to be called while this connection is being read. */
     void unlessCallerLeft(Runnable step) {
-        if (!server.lags()) {
+        if (!callerLeft()) {
             step.run();
-            return;
         }
-        server.execute(() -> {
-            if (!callerLeft()) {
-                step.run();
-            }
-        });
     }
 
-    /**
-     * Reads what the caller sent last, and returns whether it has closed the connection; not to be called while this
-     * connection is being read. A loop that lags gets to read a close long after the request before it.
-     */
+    /** Returns whether the caller has closed the connection, after a look at what it sent last. */
     private boolean callerLeft() {
         Channel channel = context.channel();
-        if (channel.isOpen() && channel.unsafe() instanceof NioUnsafe unsafe) {
+        boolean looked = server.context().time().nanos() - lookedNanos < LOOK_COUNTS.toNanos();
+        if (!looked && channel.isOpen() && channel.unsafe() instanceof NioUnsafe unsafe) {
             unsafe.read();
         }
         return !channel.isOpen();
     }
 
+    /** Notes that all is read that the caller sent until now. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        lookedNanos = server.context().time().nanos();
+        ctx.fireChannelReadComplete();
+    }
+
     /** Writes the answers that are ready and whose turn it is. */
     void flushAnswers() {
         boolean wrote = false;
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -1,6 +1,7 @@
 package org.knapweedhatch.front;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
@@ -96,6 +97,9 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Reads until nothing is left, so that a close behind a request is read with it.
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false))
                 .handler(acceptQueue)
                 .childHandler(new Pipeline())
                 .bind(address.socket())
--- a/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
@@ -69,7 +69,6 @@
     }
 
     @Test
-    @EnabledIfSystemProperty(named = "known.red", matches = "true", disabledReason = "listed in KNOWN-RED.txt")
     void requestOfACallerThatLeftWhileNothingCouldBeAcceptedIsNotSent() throws IOException {
         front = new FrontFixture(2, FullListener::new);
         full.set(true);
@@ -96,7 +95,6 @@
     }
 
     @Test
-    @EnabledIfSystemProperty(named = "known.red", matches = "true", disabledReason = "listed in KNOWN-RED.txt")
     void requestThatIsReadTogetherWithItsCallersCloseIsNotSent() throws IOException {
         front = new FrontFixture(2);
         CountDownLatch held = new CountDownLatch(1);
@@ -113,7 +111,6 @@
     }
 
     @Test
-    @EnabledIfSystemProperty(named = "known.red", matches = "true", disabledReason = "listed in KNOWN-RED.txt")
     void requestOfACallerThatLeftBetweenReadingAndSendingIsNotSentThoughTheLoopDoesNotLag() throws Exception {
         front = new FrontFixture(2);
         assertEquals(200, front.call("GET", "/safe/before").status());
