Keep fewer connections than the process has descriptors

Callers that repeat open a connection for each try and leave it idle; a host kept each for 16 s, so that after 10 s of overload accept failed with too many open files, for callers and for the pages of readiness and look-ups.

The settings now say how many descriptors there are (1,024 where they do not), and ConnectionRoom divides them. Above its part the connection that is idle for longest is closed for the new one (OpenConnections), a new one only where all others carry requests; idle connections to targets are bounded in the same way. A failed accept frees 32 of each.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -12,6 +12,7 @@
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.fleet.Peers;
+import org.knapweedhatch.front.ConnectionRoom;
 import org.knapweedhatch.front.FrontContext;
 import org.knapweedhatch.front.FrontServer;
 import org.knapweedhatch.front.RequestMeters;
@@ -173,6 +174,10 @@
                 "failed_accepts",
                 "Times that a caller's connection could not be accepted since the start",
                 server::failedAccepts);
+        metrics.gauge(
+                "caller_connections_closed_for_room",
+                "Idle connections of callers closed for others since the start",
+                server::closedForRoom);
         metrics.gauge("log_lines", "Log lines written since the start", log::written);
         metrics.gauge("log_lines_dropped", "Log lines left out since the start", log::dropped);
         metrics.gauge(
@@ -358,6 +363,11 @@
         return meters;
     }
 
+    @Override
+    public ConnectionRoom room() {
+        return ConnectionRoom.of(settings.descriptors());
+    }
+
     @Override
     public HeaderScheme headers() {
         return PlatformHeaders.scheme();
--- a/daemon/src/main/java/org/knapweedhatch/front/AcceptQueue.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/AcceptQueue.java
@@ -24,6 +24,7 @@
 
     private final TimeSource time;
     private final EventLog log;
+    private final Runnable makeRoom;
     private final LongAdder failures = new LongAdder();
     private int accepted;
     private long emptyNanos;
@@ -33,9 +34,11 @@
     private boolean failing;
     private long failedNanos;
 
-    AcceptQueue(TimeSource time, EventLog log) {
+    /** Creates a queue that has some descriptors freed after a failure. */
+    AcceptQueue(TimeSource time, EventLog log, Runnable makeRoom) {
         this.time = time;
         this.log = log;
+        this.makeRoom = makeRoom;
         emptyNanos = time.nanos();
         emptyBeforeNanos = emptyNanos;
         tickNanos = emptyNanos;
@@ -79,6 +82,7 @@
                     .putNanos("sinceEmptyMs", sinceEmptyNanos())
                     .write();
         }
+        makeRoom.run();
         ChannelConfig config = ctx.channel().config();
         config.setAutoRead(false);
         ctx.channel().eventLoop().schedule(() -> config.setAutoRead(true), RETRY_MS, TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -78,6 +78,7 @@
     void bytesCame() {
         if (!headBegun && receiving == null) {
             headBegun = true;
+            server.callers().use(this);
             headBegunNanos = server.context().time().nanos();
         }
     }
@@ -196,6 +197,9 @@
         }
         if (wrote) {
             activeNanos = server.context().time().nanos();
+            if (isIdle()) {
+                server.callers().rest(this);
+            }
             context.flush();
             if (pending.size() < MAX_PIPELINED) {
                 context.channel().config().setAutoRead(true);
@@ -250,6 +254,15 @@
         }
     }
 
+    /** Returns for how long nothing has come or gone, in nanoseconds. */
+    long idleNanos() {
+        return server.context().time().nanos() - activeNanos;
+    }
+
+    Channel channel() {
+        return context.channel();
+    }
+
     boolean isIdle() {
         return pending.isEmpty() && !headBegun;
     }
@@ -266,7 +279,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         readsNoMore = true;
-        server.closed(this);
+        server.callers().remove(this);
         while (!pending.isEmpty()) {
             pending.pollFirst().callerGone();
         }
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
@@ -21,6 +21,9 @@
     /** Returns the meters of requests. */
     RequestMeters meters();
 
+    /** Returns how many connections the host keeps. */
+    ConnectionRoom room();
+
     /** Returns the names of headers. */
     HeaderScheme headers();
 
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -20,10 +20,10 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.Collectors;
+import org.knapweedhatch.log.LineKind;
 import org.knapweedhatch.target.KnownTarget;
 import org.knapweedhatch.world.Address;
 
@@ -53,6 +53,9 @@
     /** Largest piece of a body that is decoded at once, in bytes; bounds a read's memory. */
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    /** Connections of each kind that are closed after a failed accept: more than come until the next try. */
+    private static final int ROOM_AFTER_FAILURE = 32;
+
     private final FrontContext context;
     private final ChannelFactory<? extends ServerChannel> listeners;
     private final EventLoopGroup loops =
@@ -61,19 +64,22 @@
     private final Admission admission;
     private final ForwardHeaders forwardHeaders;
     private final TargetConnections connections;
-    private final Set<CallerConnection> callers = new HashSet<>();
+    private final OpenConnections<CallerConnection> callers;
     private final LoopLag lag;
     private final AcceptQueue acceptQueue;
+    private final LongAdder closedForRoom = new LongAdder();
     private volatile Channel listener;
 
     private FrontServer(FrontContext context, ChannelFactory<? extends ServerChannel> listeners) {
         this.context = context;
         this.listeners = listeners;
         admission = new Admission(context);
+        callers = OpenConnections.of(context.room().callers());
         lag = new LoopLag(context.time(), context.log());
-        acceptQueue = new AcceptQueue(context.time(), context.log());
+        acceptQueue = new AcceptQueue(context.time(), context.log(), this::makeRoom);
         forwardHeaders = ForwardHeaders.of(context.headers());
-        connections = new TargetConnections(loop, context.headers(), context.time());
+        connections = new TargetConnections(
+                loop, context.headers(), context.time(), context.room().idleTargets());
     }
 
     /** Creates a server that does not listen yet. */
@@ -127,7 +133,7 @@
                 .idleTimeout()
                 .plus(IDLE_MARGIN)
                 .toNanos();
-        Set.copyOf(callers).forEach(caller -> caller.sweep(now, idle));
+        callers.all().forEach(caller -> caller.sweep(now, idle));
         connections.sweep(
                 context.placer().targets().stream().map(KnownTarget::name).collect(Collectors.toSet()));
     }
@@ -148,8 +154,28 @@
         return connections;
     }
 
-    void closed(CallerConnection caller) {
-        callers.remove(caller);
+    /** The connections of callers. */
+    OpenConnections<CallerConnection> callers() {
+        return callers;
+    }
+
+    /** Closes idle connections after one could not be accepted for want of descriptors. */
+    private void makeRoom() {
+        for (int i = 0; i < ROOM_AFTER_FAILURE; i++) {
+            callers.longestIdle().ifPresent(caller -> closeForRoom(caller, caller.channel()));
+            connections.closeLongestIdle();
+        }
+    }
+
+    private void closeForRoom(CallerConnection caller, Channel channel) {
+        context.log()
+                .line(LineKind.ACCEPT)
+                .put("outcome", "closed for room")
+                .put("connections", callers.size())
+                .putNanos("idleMs", caller.idleNanos())
+                .write();
+        closedForRoom.increment();
+        channel.close();
     }
 
     /** Returns how many connections of callers are open; may be off by those that open or close now. */
@@ -162,6 +188,11 @@
         return acceptQueue.failures();
     }
 
+    /** Returns how many idle connections of callers were closed for others since the start. */
+    public long closedForRoom() {
+        return closedForRoom.sum();
+    }
+
     /** Returns for how long a connection that is accepted now may have waited, in nanoseconds. */
     long mayHaveQueuedNanos() {
         return acceptQueue.sinceEmptyNanos();
@@ -169,8 +200,8 @@
 
     /** Closes the connections on which nothing is in progress. */
     public void closeIdle() {
-        loop.execute(() ->
-                Set.copyOf(callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close));
+        loop.execute(
+                () -> callers.all().stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close));
     }
 
     /** Accepts no more connections. */
@@ -211,7 +242,8 @@
         @Override
         protected void initChannel(Channel channel) {
             CallerConnection caller = new CallerConnection(FrontServer.this);
-            callers.add(caller);
+            callers.add(caller)
+                    .ifPresent(longest -> closeForRoom(longest, longest == caller ? channel : longest.channel()));
             int headBytes = context.configuration().callerLimits().headerBytes();
             channel.pipeline()
                     .addLast(new BytesWatch(caller))
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnections.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnections.java
@@ -60,8 +60,10 @@
     private final HeaderScheme scheme;
     private final TimeSource time;
     private final Map<Peer, Deque<TargetConnection>> idle = new HashMap<>();
+    private final OpenConnections<TargetConnection> allIdle;
 
-    TargetConnections(EventLoop loop, HeaderScheme scheme, TimeSource time) {
+    TargetConnections(EventLoop loop, HeaderScheme scheme, TimeSource time, int mostIdle) {
+        allIdle = OpenConnections.of(mostIdle);
         this.loop = loop;
         this.scheme = scheme;
         this.time = time;
@@ -74,6 +76,7 @@
         long now = time.nanos();
         while (waiting != null && !waiting.isEmpty()) {
             TargetConnection last = waiting.pollLast();
+            allIdle.remove(last);
             if (last.isUsable(now) && last.idleNanos(now) <= freshest.toNanos()) {
                 taker.connected(last);
                 return;
@@ -124,6 +127,11 @@
         stale.forEach(TargetConnection::close);
     }
 
+    /** Closes the connection that has been idle for longest. */
+    void closeLongestIdle() {
+        allIdle.longestIdle().ifPresent(TargetConnection::close);
+    }
+
     /** Keeps the connections to one process. */
     private final class Keeper implements TargetConnection.Owner {
         private final Peer peer;
@@ -137,6 +145,7 @@
             Deque<TargetConnection> waiting = idle.computeIfAbsent(peer, p -> new ArrayDeque<>());
             connection.idleSince(time.nanos());
             waiting.addLast(connection);
+            allIdle.add(connection).ifPresent(TargetConnection::close);
             if (waiting.size() > MAX_IDLE) {
                 waiting.pollFirst().close();
             }
@@ -144,6 +153,7 @@
 
         @Override
         public void closed(TargetConnection connection) {
+            allIdle.remove(connection);
             Deque<TargetConnection> waiting = idle.get(peer);
             if (waiting != null) {
                 waiting.remove(connection);
--- a/daemon/src/main/java/org/knapweedhatch/settings/FrontSettings.java
+++ b/daemon/src/main/java/org/knapweedhatch/settings/FrontSettings.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.knapweedhatch.front.ConnectionRoom;
 import org.knapweedhatch.helper.Validate;
 import org.knapweedhatch.ini.Checked;
 import org.knapweedhatch.ini.FaultList;
@@ -24,6 +25,7 @@
  * }</pre>
  *
  * @param host this host: name, place and addresses
+ * @param descriptors files and connections that the process may have open
  * @param ready address at which the platform asks whether the host is ready
  * @param directory address at which callers ask which hosts to use
  * @param metrics address of the admin pages
@@ -36,6 +38,7 @@
  */
 public record FrontSettings(
         Host host,
+        int descriptors,
         Address ready,
         Address directory,
         Address metrics,
@@ -56,6 +59,9 @@
     private static final Duration SHORTEST = Duration.ofMillis(1);
     private static final Duration LONGEST = Duration.ofMinutes(10);
     private static final double MOST = 1_000_000;
+    /** Fewer leave no room beside a host's own files and connections. */
+    private static final int LEAST_DESCRIPTORS = 64;
+
     private static final double LEAST_SHIFT = 0.001;
 
     /** Copies the collections. */
@@ -68,7 +74,8 @@
 
     /** Returns these settings with other terms. */
     public FrontSettings terms(Terms granted) {
-        return new FrontSettings(host, ready, directory, metrics, seeds, platform, heartbeat, secret, domains, granted);
+        return new FrontSettings(
+                host, descriptors, ready, directory, metrics, seeds, platform, heartbeat, secret, domains, granted);
     }
 
     /** Returns whether a file has the sections of these settings rather than those of {@link Settings}. */
@@ -92,8 +99,10 @@
         Fields listen = section(file, LISTEN, faults);
         Fields platform = section(file, PLATFORM, faults);
         Fields fleet = section(file, FLEET, faults);
+        Fields host = section(file, HOST, faults);
         FrontSettings settings = new FrontSettings(
-                host(section(file, HOST, faults)),
+                host(host),
+                (int) host.whole("descriptors", LEAST_DESCRIPTORS, (long) MOST, ConnectionRoom.USUAL_DESCRIPTORS),
                 listen.address("ready"),
                 listen.address("directory"),
                 listen.address("metrics"),
@@ -103,6 +112,7 @@
                 secret(fleet),
                 domains(section(file, DOMAINS, faults)),
                 terms(section(file, TERMS, faults)));
+        host.rejectOthers();
         listen.rejectOthers();
         platform.rejectOthers();
         fleet.rejectOthers();
@@ -118,14 +128,12 @@
     }
 
     private static Host host(Fields fields) {
-        Host host = new Host(
+        return new Host(
                 Settings.orUnnamed(fields.text("name")),
                 Settings.orUnnamed(fields.text("region")),
                 Settings.orUnnamed(fields.text("failure-domain")),
                 fields.address("edge"),
                 fields.address("peer"));
-        fields.rejectOthers();
-        return host;
     }
 
     private static String secret(Fields fleet) {
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/front/CrowdedFrontTest.java
@@ -0,0 +1,91 @@
+package org.knapweedhatch.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** More connections of callers than a host has descriptors for. */
+class CrowdedFrontTest {
+
+    private FrontFixture front;
+
+    @BeforeEach
+    void start() throws IOException {
+        front = new FrontFixture(2, NioServerSocketChannel::new, new ConnectionRoom(4, 2));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        front.close();
+    }
+
+    private FrontFixture.Caller callerThatCalled(String path) throws IOException {
+        FrontFixture.Caller caller = front.new Caller();
+        assertEquals(200, call(caller, path));
+        return caller;
+    }
+
+    private static int call(FrontFixture.Caller caller, String path) throws IOException {
+        caller.send(FrontFixture.request("GET", path, "id-" + path, "", ""));
+        return caller.read().status();
+    }
+
+    @Test
+    void connectionsThatCallersLeaveIdleDoNotKeepNewOnesOut() throws IOException {
+        List<FrontFixture.Caller> callers = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            callers.add(callerThatCalled("/safe/" + i));
+        }
+        assertTrue(
+                front.server().openConnections() <= 4, "open " + front.server().openConnections());
+        assertTrue(callers.get(0).ended());
+        assertEquals(200, call(callers.get(39), "/safe/again"));
+    }
+
+    @Test
+    void requestsInProgressAreNotCutForNewConnections() throws Exception {
+        List<FrontFixture.Caller> busy = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            FrontFixture.Caller caller = front.new Caller();
+            caller.send(FrontFixture.request("POST", "/once/hold", "id-" + i, "", "x"));
+            busy.add(caller);
+        }
+        FrontFixture.await("sent", () -> front.sent("/once/hold") == 4);
+        try (FrontFixture.Caller late = front.new Caller()) {
+            assertTrue(late.ended());
+        }
+        front.target(0).release();
+        front.target(1).release();
+        for (FrontFixture.Caller caller : busy) {
+            assertEquals(200, caller.read().status());
+        }
+    }
+
+    @Test
+    void idleConnectionsToTargetsAreFewerThanTheRoomForThem() throws Exception {
+        List<FrontFixture.Caller> callers = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            FrontFixture.Caller caller = front.new Caller();
+            caller.send(FrontFixture.request("GET", "/safe/" + i + "/wait", "id-" + i, "", ""));
+            callers.add(caller);
+        }
+        for (FrontFixture.Caller caller : callers) {
+            assertEquals(200, caller.read().status());
+        }
+        assertEquals(4, front.target(0).connections() + front.target(1).connections());
+        long begun = System.nanoTime();
+        FrontFixture.await(
+                "closed",
+                () -> front.target(0).openConnections() + front.target(1).openConnections() <= 2);
+        // All idle connections are closed after 8 s.
+        assertTrue(System.nanoTime() - begun < Duration.ofSeconds(2).toNanos());
+    }
+}
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -61,6 +61,7 @@
     private final List<ScriptedTarget> targets = new ArrayList<>();
     private final Metrics metrics = Metrics.create();
     private final RequestMeters meters = RequestMeters.of(metrics);
+    private final ConnectionRoom room;
     private final FrontServer server;
     private final Address address;
     private volatile Configuration configuration = Configuration.empty();
@@ -78,6 +79,11 @@
     }
 
     FrontFixture(int count, ChannelFactory<? extends ServerChannel> listeners) throws IOException {
+        this(count, listeners, ConnectionRoom.of(4_096));
+    }
+
+    FrontFixture(int count, ChannelFactory<? extends ServerChannel> listeners, ConnectionRoom room) throws IOException {
+        this.room = room;
         log = EventLog.start(lines, "test", time);
         for (int i = 0; i < count; i++) {
             targets.add(ScriptedTarget.start());
@@ -247,6 +253,11 @@
         return log;
     }
 
+    @Override
+    public ConnectionRoom room() {
+        return room;
+    }
+
     @Override
     public HeaderScheme headers() {
         return HeaderScheme.own();
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/front/OpenConnectionsTest.java
@@ -0,0 +1,52 @@
+package org.knapweedhatch.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class OpenConnectionsTest {
+
+    private final OpenConnections<String> open = OpenConnections.of(3);
+
+    @Test
+    void theLongestIdleGoesFirst() {
+        open.add("a");
+        open.add("b");
+        open.add("c");
+        open.use("a");
+        open.rest("a");
+        assertEquals(Optional.of("b"), open.add("d"));
+        assertEquals(Optional.of("c"), open.add("e"));
+        assertEquals(3, open.size());
+    }
+
+    @Test
+    void oneInUseIsNeverClosedForANewOne() {
+        for (String name : new String[] {"a", "b", "c"}) {
+            open.add(name);
+            open.use(name);
+        }
+        assertEquals(Optional.of("d"), open.add("d"));
+        assertEquals(3, open.size());
+    }
+
+    @Test
+    void oneThatIsClosedTakesNoRoomAndDoesNotComeBack() {
+        open.add("a");
+        open.remove("a");
+        open.rest("a");
+        assertEquals(0, open.size());
+        assertTrue(open.longestIdle().isEmpty());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {64, 256, 1_024, 4_100, 8_192, 1_000_000})
+    void connectionsThatAreKeptLeaveDescriptorsForThoseInUse(int descriptors) {
+        ConnectionRoom room = ConnectionRoom.of(descriptors);
+        assertTrue(room.callers() + room.idleTargets() <= descriptors * 0.8, room.toString());
+    }
+}
--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -69,6 +69,10 @@
         return connections.get();
     }
 
+    long openConnections() {
+        return open.stream().filter(socket -> !socket.isClosed()).count();
+    }
+
     /** Returns how many connections ended while a request was held. */
     int callersGone() {
         return callersGone.get();
