Withdraw what is not sent yet when a request is given up

A request that was given up closed its connection to the target in the ordinary way, so bytes in the socket's buffer still reached the target, on a thin or lossy link long after the caller had left; one that must not repeat was sent whole even where its bytes still waited in the process. The connection is now reset, and a request that must not repeat runs to its end only once it has left the process whole. A connection on which nothing was sent is given back instead of closed. The test failed before for both kinds (received 1, 0 wanted).

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -197,7 +197,7 @@
         @Override
         public void connected(TargetConnection opened) {
             if (over) {
-                opened.close();
+                opened.giveBack();
                 return;
             }
             connection = opened;
@@ -287,8 +287,13 @@
         void cancel(Ending ending) {
             if (!over) {
                 end(ending);
-                if (connection != null) {
+                if (connection == null) {
+                    return;
+                }
+                if (sending) {
                     connection.cancel();
+                } else {
+                    connection.giveBack();
                 }
             }
         }
@@ -296,6 +301,11 @@
         boolean isSent() {
             return sending;
         }
+
+        /** Returns whether the whole request has left this process, so that the target may run it. */
+        boolean isWritten() {
+            return sending && connection.isWritten();
+        }
     }
 
     private boolean mayTryAgain(boolean costsBudget) {
@@ -405,7 +415,7 @@
         body.release();
     }
 
-    /** The caller's connection is gone: what may run again is given up, the rest runs to its end. */
+    /** The caller's connection is gone: gives up what may run again or is not sent whole; the rest runs to its end. */
     void callerGone() {
         callerGone = true;
         if (done) {
@@ -424,7 +434,7 @@
                 .put("reason", Reason.CALLER_GONE.name())
                 .put("sent", sent)
                 .write();
-        if (attempt == null || kind().mayRepeat() || !attempt.isSent()) {
+        if (attempt == null || kind().mayRepeat() || !attempt.isWritten()) {
             if (attempt != null) {
                 attempt.cancel(Ending.CANCELLED);
             }
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpContent;
@@ -125,13 +126,25 @@
         return request != null && HttpMethod.HEAD.equals(request.method());
     }
 
-    /** Gives the request up, where it is still in progress; the target sees the connection close. */
+    /** Gives the request up, where it is still in progress; what has not reached the target yet never does. */
     void cancel() {
         listener = null;
         failed = true;
+        // A reset drops what an ordinary close would still deliver.
+        context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
         context.close();
     }
 
+    /** Returns whether the request in progress has left this process whole. */
+    boolean isWritten() {
+        return requestWritten;
+    }
+
+    /** Gives the connection back on which nothing was sent. */
+    void giveBack() {
+        becomeIdle();
+    }
+
     /** Closes an idle connection. */
     void close() {
         context.close();
--- a/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Callers that leave before their requests are sent, by where the time until then has gone. */
 class LeavingCallersTest {
@@ -130,6 +132,30 @@
         assertEquals(0, front.sent("/safe/left"));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"/safe/large", "/once/large"})
+    void whatIsNotSentYetWhenTheCallerLeavesNeverReachesTheTarget(String path) throws Exception {
+        front = new FrontFixture(2);
+        for (int i = 0; i < 2; i++) {
+            front.target(i).stall();
+        }
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            // More than the buffers between host and target hold.
+            caller.send(FrontFixture.request("POST", path, "id-large", "", "x".repeat(32 << 20)));
+            FrontFixture.await(
+                    "connected",
+                    () -> front.target(0).connections() + front.target(1).connections() == 1);
+        }
+        sleep(200);
+        for (int i = 0; i < 2; i++) {
+            front.target(i).read();
+        }
+        FrontFixture.await(
+                "closed",
+                () -> front.target(0).openConnections() + front.target(1).openConnections() == 0);
+        assertEquals(0, front.sent(path));
+    }
+
     private static void close(FrontFixture.Caller caller) {
         try {
             caller.close();
--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -17,6 +17,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.knapweedhatch.message.HeaderScheme;
 import org.knapweedhatch.world.Address;
@@ -38,6 +39,7 @@
     private final List<Socket> open = new CopyOnWriteArrayList<>();
     private final CountDownLatch held = new CountDownLatch(1);
     private volatile boolean sheds;
+    private final Semaphore reads = new Semaphore(1);
     private final AtomicInteger callersGone = new AtomicInteger();
     private final AtomicInteger connections = new AtomicInteger();
 
@@ -82,6 +84,15 @@
         sheds = all;
     }
 
+    /** Reads nothing until {@link #read()}. */
+    void stall() {
+        reads.acquireUninterruptibly();
+    }
+
+    void read() {
+        reads.release();
+    }
+
     /** Lets held requests be answered. */
     void release() {
         held.countDown();
@@ -103,6 +114,8 @@
     private void serve(Socket caller) {
         try (caller) {
             InputStream in = caller.getInputStream();
+            reads.acquire();
+            reads.release();
             for (Received request = read(in); request != null; request = read(in)) {
                 received.add(request);
                 if (!answer(request, caller)) {
