Cut a target off that sends bytes without end

A target in trouble may send bytes that are no answer until the connection is closed. Bytes are now counted before they are decoded: more than the largest answer and 1 MiB for one request, or any on an idle connection, end it.

--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/front/BytesWatch.java
@@ -0,0 +1,22 @@
+package org.knapweedhatch.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.function.IntConsumer;
+
+/** Tells of the bytes that reach a connection, before they are decoded. */
+final class BytesWatch extends ChannelInboundHandlerAdapter {
+
+    private final IntConsumer watcher;
+
+    BytesWatch(IntConsumer watcher) {
+        this.watcher = watcher;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        watcher.accept(((ByteBuf) message).readableBytes());
+        ctx.fireChannelRead(message);
+    }
+}
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -5,8 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -246,25 +244,10 @@
                     .ifPresent(longest -> closeForRoom(longest, longest == caller ? channel : longest.channel()));
             int headBytes = context.configuration().callerLimits().headerBytes();
             channel.pipeline()
-                    .addLast(new BytesWatch(caller))
+                    .addLast(new BytesWatch(count -> caller.bytesCame()))
                     .addLast(new HttpRequestDecoder(MAX_LINE_BYTES, headBytes, MAX_CHUNK_BYTES))
                     .addLast(new HttpResponseEncoder())
                     .addLast(caller);
         }
     }
-
-    /** Tells a connection of the bytes that reach it before they are decoded. */
-    private static final class BytesWatch extends ChannelInboundHandlerAdapter {
-        private final CallerConnection caller;
-
-        BytesWatch(CallerConnection caller) {
-            this.caller = caller;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            caller.bytesCame();
-            ctx.fireChannelRead(message);
-        }
-    }
 }
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -46,6 +46,9 @@
     /** Parameter of Keep-Alive: seconds after which the target closes an idle connection. */
     private static final Pattern TIMEOUT = Pattern.compile("(?:^|[,;\\s])timeout=(\\d{1,6})");
 
+    /** Bytes beside an answer's body that may come for one request: heads, chunk sizes, answers to earlier requests. */
+    private static final int MAX_OTHER_BYTES = 1 << 20;
+
     /** What becomes of a request; exactly one method is called, once. */
     interface Listener {
         /** The whole answer is here; the listener releases its body. */
@@ -69,6 +72,7 @@
     private Listener listener;
     private HttpResponse head;
     private CompositeByteBuf body;
+    private long bytesCame;
     private boolean skipping;
     private boolean requestWritten;
     private boolean answerRead;
@@ -97,6 +101,7 @@
         listener = sink;
         requestWritten = false;
         answerRead = false;
+        bytesCame = 0;
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 forward.method(),
@@ -163,6 +168,16 @@
         idleSinceNanos = nanos;
     }
 
+    /** Notes that bytes came, before they are decoded: some are never passed on as a part of an answer. */
+    void bytesCame(int count) {
+        bytesCame += count;
+        if (request == null) {
+            fail("bytes came that nobody asked for");
+        } else if (bytesCame > MAX_ANSWER_BYTES + MAX_OTHER_BYTES) {
+            fail("more than " + (MAX_ANSWER_BYTES + MAX_OTHER_BYTES) + " bytes came for one request");
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnections.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnections.java
@@ -172,6 +172,7 @@
         @Override
         protected void initChannel(Channel channel) {
             channel.pipeline()
+                    .addLast(new BytesWatch(connection::bytesCame))
                     .addLast(new HttpRequestEncoder())
                     .addLast(new Decoder(connection))
                     .addLast(connection);
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/front/EndlessAnswersTest.java
@@ -0,0 +1,63 @@
+package org.knapweedhatch.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Targets that send bytes without end, which are no answer. */
+class EndlessAnswersTest {
+
+    /** Well inside the 3 s for which the route lets a request run. */
+    private static final Duration SOON = Duration.ofMillis(1_500);
+
+    private FrontFixture front;
+
+    @BeforeEach
+    void start() throws IOException {
+        front = new FrontFixture(1);
+        front.mayRetry = false;
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        front.close();
+    }
+
+    private void awaitClosedSince(long begun) throws InterruptedException {
+        FrontFixture.await("closed", () -> front.target(0).openConnections() == 0);
+        long tookNanos = System.nanoTime() - begun;
+        assertTrue(tookNanos < SOON.toNanos(), "closed after " + tookNanos / 1e6 + " ms");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "endless-head",
+                "endless-line",
+                "endless-blank",
+                "endless-body",
+                "endless-late",
+                "endless-informing"
+            })
+    void aTargetThatSendsWithoutEndIsCutOffSoon(String fault) throws Exception {
+        long begun = System.nanoTime();
+        FrontFixture.Answer answer = front.call("POST", "/once/" + fault);
+        assertEquals(502, answer.status());
+        awaitClosedSince(begun);
+    }
+
+    @Test
+    void bytesWithoutEndBehindAWholeAnswerEndTheConnection() throws Exception {
+        long begun = System.nanoTime();
+        FrontFixture.Answer answer = front.call("POST", "/once/endless-after");
+        assertEquals("whole", answer.body());
+        awaitClosedSince(begun);
+    }
+}
--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -200,6 +200,19 @@
                 caller.setSoLinger(true, 0);
                 return false;
             }
+            case "endless-head" -> endless(out, "HTTP/1.1 200 OK\r\nX-Long: ", "a");
+            case "endless-line" -> endless(out, "HTTP", "/");
+            case "endless-blank" -> endless(out, "", "\r\n");
+            case "endless-body" ->
+                endless(out, "HTTP/1.1 200 OK\r\n" + HEADERS.requestId() + ": " + id + "\r\n\r\n", "a");
+            case "endless-late" ->
+                endless(out, "HTTP/1.1 200 OK\r\n" + HEADERS.requestId() + ": an-earlier-id\r\n\r\n", "a");
+            case "endless-informing" -> endless(out, "", "HTTP/1.1 102 Processing\r\n\r\n");
+            case "endless-after" -> {
+                write(out, whole(200, id, "whole"));
+                Thread.sleep(50);
+                endless(out, "", "\r\n");
+            }
             case "garbage" -> {
                 write(out, "\u0001\u0002 this is no answer\r\n\r\n");
                 return false;
@@ -216,6 +229,14 @@
         return true;
     }
 
+    /** Writes without end, until the host closes the connection. */
+    private static void endless(OutputStream out, String begin, String more) throws IOException {
+        write(out, begin);
+        while (true) {
+            write(out, more.repeat(16_384 / more.length()));
+        }
+    }
+
     private void hold(Socket caller, OutputStream out, String id, Received request)
             throws IOException, InterruptedException {
         caller.setSoTimeout(20);
