Free descriptors only when accepting fails again; slow the turns of a test by its listener

The first failure may be a caller that left before it was accepted, and is no reason to close idle connections.

--- a/daemon/src/main/java/org/knapweedhatch/front/AcceptQueue.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/AcceptQueue.java
@@ -34,7 +34,7 @@
     private boolean failing;
     private long failedNanos;
 
-    /** Creates a queue that has some descriptors freed after a failure. */
+    /** Creates a queue that has some descriptors freed when it fails again and again. */
     AcceptQueue(TimeSource time, EventLog log, Runnable makeRoom) {
         this.time = time;
         this.log = log;
@@ -73,7 +73,10 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         emptyNanos = emptyBeforeNanos;
         failures.increment();
-        if (!failing) {
+        if (failing) {
+            // Not after the first failure: a caller that left before it was accepted also is one.
+            makeRoom.run();
+        } else {
             failing = true;
             failedNanos = time.nanos();
             log.line(LineKind.ACCEPT)
@@ -82,7 +85,6 @@
                     .putNanos("sinceEmptyMs", sinceEmptyNanos())
                     .write();
         }
-        makeRoom.run();
         ChannelConfig config = ctx.channel().config();
         config.setAutoRead(false);
         ctx.channel().eventLoop().schedule(() -> config.setAutoRead(true), RETRY_MS, TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -157,7 +157,7 @@
         return callers;
     }
 
-    /** Closes idle connections after one could not be accepted for want of descriptors. */
+    /** Closes idle connections where none can be accepted for want of descriptors. */
     private void makeRoom() {
         for (int i = 0; i < ROOM_AFTER_FAILURE; i++) {
             callers.longestIdle().ifPresent(caller -> closeForRoom(caller, caller.channel()));
@@ -214,11 +214,6 @@
         loop.execute(task);
     }
 
-    /** Runs something on the event loop after a delay. */
-    void executeLater(Runnable task, Duration delay) {
-        loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
-    }
-
     /** Returns whether the event loop lately lagged behind, so that what it reads may be old. */
     boolean lags() {
         return lag.isHigh();
--- a/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
@@ -164,23 +164,26 @@
         }
     }
 
-    /** Makes each turn of the loop take longer, but less than what counts as a lag. */
-    private void slowTurns() {
-        front.server()
-                .executeLater(
-                        () -> {
-                            sleep(70);
-                            slowTurns();
-                        },
-                        Duration.ofMillis(1));
+    /** A listener that makes each turn of its loop take longer, but less than what counts as a lag. */
+    private static final class SlowListener extends NioServerSocketChannel {
+        @Override
+        protected int doReadMessages(List<Object> accepted) throws Exception {
+            if (accepted.isEmpty()) {
+                sleep(70);
+            }
+            return super.doReadMessages(accepted);
+        }
     }
 
     @Test
     void callersThatComeAtOnceAreAllReadWithinTheirWaitThoughTurnsOfTheLoopAreSlow() throws IOException {
-        front = new FrontFixture(2);
+        front = new FrontFixture(2, SlowListener::new);
         // Code that runs for the first time would take most of the wait.
-        for (int i = 0; i < 400; i++) {
-            assertEquals(404, front.call("GET", "/none/warm").status());
+        try (FrontFixture.Caller warm = front.new Caller()) {
+            for (int i = 0; i < 400; i++) {
+                warm.send(get("/none/warm"));
+                assertEquals(404, warm.read().status());
+            }
         }
         List<FrontFixture.Caller> callers = new ArrayList<>();
         CountDownLatch held = new CountDownLatch(1);
@@ -195,7 +198,6 @@
             caller.send(get("/none/" + i));
             callers.add(caller);
         }
-        slowTurns();
         long released = System.nanoTime();
         here.countDown();
         for (FrontFixture.Caller caller : callers) {
