Give up all requests of a caller that left though a target left in the same turn

Where a target had closed its connection in the turn of the loop in which the caller left, setting the option for a reset on the closed socket threw, and the caller's other requests ran on.

--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -135,9 +135,11 @@
     void cancel() {
         listener = null;
         failed = true;
-        // A reset drops what an ordinary close would still deliver.
-        context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-        context.close();
+        if (context.channel().isOpen()) {
+            // A reset drops what an ordinary close would still deliver; a closed socket takes no option.
+            context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+            context.close();
+        }
     }
 
     /** Returns whether the request in progress has left this process whole. */
--- a/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
@@ -156,6 +156,31 @@
         assertEquals(0, front.sent(path));
     }
 
+    @Test
+    void allRequestsOfACallerThatLeftAreGivenUpThoughTheTargetOfOneLeftToo() throws Exception {
+        front = new FrontFixture(2);
+        FrontFixture.Caller caller = front.new Caller();
+        caller.send(get("/safe/1/hold") + get("/safe/2/hold"));
+        FrontFixture.await("sent", () -> front.sent("/safe/1/hold") + front.sent("/safe/2/hold") == 2);
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch left = new CountDownLatch(1);
+        front.server().execute(() -> {
+            held.countDown();
+            await(left);
+        });
+        await(held);
+        assertEquals(1, front.target(0).received().size(), "one request at each target");
+        int gone = front.target(0).received().get(0).path().equals("/safe/1/hold") ? 0 : 1;
+        caller.close();
+        sleep(50);
+        front.target(gone).close();
+        sleep(50);
+        long begun = System.nanoTime();
+        left.countDown();
+        FrontFixture.await("given up", () -> front.target(1 - gone).callersGone() >= 1);
+        assertTrue(System.nanoTime() - begun < CALLERS_WAIT.toNanos());
+    }
+
     private static void close(FrontFixture.Caller caller) {
         try {
             caller.close();
