--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -17,6 +17,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 import org.knapweedhatch.admin.Metrics;
@@ -233,6 +235,37 @@
         }
     }
 
+    /** Holds the server's event loop, once what it does now is done; it goes on when the result is run. */
+    Runnable holdLoop() {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        server.execute(() -> {
+            held.countDown();
+            await(released);
+        });
+        await(held);
+        return released::countDown;
+    }
+
+    /** Sleeps for the whole time; a park could end at once on a permit that a latch left. */
+    static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    static void await(CountDownLatch latch) {
+        try {
+            if (!latch.await(LONGEST.toSeconds(), TimeUnit.SECONDS)) {
+                throw new AssertionError("never counted down");
+            }
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     static void await(String what, BooleanSupplier condition) throws InterruptedException {
         long end = System.nanoTime() + LONGEST.toNanos();
         while (!condition.getAsBoolean()) {
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontServerTest.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -100,30 +99,30 @@
         List<FrontFixture.Caller> callers = List.of(front.new Caller(), front.new Caller(), front.new Caller());
         openTargetConnections(callers);
         // The last admission takes long enough for all three to be due to be sent in one pass of the loop.
-        front.onSpend = () -> stall(admitted.incrementAndGet() == 3 ? 20 : 0);
+        front.onSpend = () -> FrontFixture.sleep(admitted.incrementAndGet() == 3 ? 20 : 0);
         front.onSentFirst = () -> {
             if (first.getAndSet(false)) {
                 lagged.set(front.server().lags());
                 sending.countDown();
-                await(left);
+                FrontFixture.await(left);
             }
         };
         front.server().execute(() -> {
             held.countDown();
-            await(written);
+            FrontFixture.await(written);
             // Long enough to count as a lag.
-            stall(300);
+            FrontFixture.sleep(300);
         });
-        await(held);
+        FrontFixture.await(held);
         for (FrontFixture.Caller caller : callers) {
             caller.send(get("/safe/leaves", "id-1"));
         }
         written.countDown();
-        await(sending);
+        FrontFixture.await(sending);
         for (FrontFixture.Caller caller : callers) {
             caller.close();
         }
-        stall(50);
+        FrontFixture.sleep(50);
         left.countDown();
         assertEquals(200, front.call("GET", "/safe/after").status());
         assertTrue(lagged.get(), "the loop did not lag");
@@ -140,10 +139,10 @@
         assertEquals(200, caller.read().status());
         front.server().execute(() -> {
             held.countDown();
-            await(written);
-            stall(400);
+            FrontFixture.await(written);
+            FrontFixture.sleep(400);
         });
-        await(held);
+        FrontFixture.await(held);
         caller.send(FrontFixture.request("GET", "/safe/old", "id-1", HEADERS.deadlineMs() + ": 250\r\n", ""));
         written.countDown();
         assertEquals(503, caller.read().status());
@@ -164,23 +163,6 @@
         }
     }
 
-    /** Sleeps for the whole time; a park could end at once on a permit that a latch left. */
-    private static void stall(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
-    private static void await(CountDownLatch latch) {
-        try {
-            assertTrue(latch.await(20, TimeUnit.SECONDS));
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     @Test
     void noTargetSeesTheKeyNorHeadersThatOnlyHostsSet() throws IOException {
         String forged =
--- a/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/LeavingCallersTest.java
@@ -9,8 +9,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -46,22 +44,6 @@
         return FrontFixture.request("GET", path, "id-" + path, "", "");
     }
 
-    private static void sleep(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
-    private static void await(CountDownLatch latch) {
-        try {
-            assertTrue(latch.await(20, TimeUnit.SECONDS));
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     /** Opens a connection, sends a request and leaves. */
     private void callAndLeave(String path) throws IOException {
         try (FrontFixture.Caller caller = front.new Caller()) {
@@ -74,7 +56,7 @@
         front = new FrontFixture(2, FullListener::new);
         full.set(true);
         callAndLeave("/safe/left");
-        sleep(100);
+        FrontFixture.sleep(100);
         full.set(false);
         assertEquals(200, front.call("GET", "/safe/after").status());
         assertEquals(0, front.sent("/safe/left"));
@@ -85,7 +67,7 @@
         front = new FrontFixture(2, FullListener::new);
         full.set(true);
         callAndLeave("/safe/left");
-        sleep(100);
+        FrontFixture.sleep(100);
         full.set(false);
         long freed = System.nanoTime();
         assertEquals(200, front.call("GET", "/safe/after").status());
@@ -97,15 +79,9 @@
     @Test
     void requestThatIsReadTogetherWithItsCallersCloseIsNotSent() throws IOException {
         front = new FrontFixture(2);
-        CountDownLatch held = new CountDownLatch(1);
-        CountDownLatch left = new CountDownLatch(1);
-        front.server().execute(() -> {
-            held.countDown();
-            await(left);
-        });
-        await(held);
+        Runnable letGo = front.holdLoop();
         callAndLeave("/safe/left");
-        left.countDown();
+        letGo.run();
         assertEquals(200, front.call("GET", "/safe/after").status());
         assertEquals(0, front.sent("/safe/left"));
     }
@@ -121,7 +97,7 @@
         front.onSpend = () -> {
             if (first.getAndSet(false)) {
                 close(caller);
-                sleep(70);
+                FrontFixture.sleep(70);
                 lagged.set(front.server().lags());
             }
         };
@@ -146,7 +122,7 @@
                     "connected",
                     () -> front.target(0).connections() + front.target(1).connections() == 1);
         }
-        sleep(200);
+        FrontFixture.sleep(200);
         for (int i = 0; i < 2; i++) {
             front.target(i).read();
         }
@@ -162,21 +138,15 @@
         FrontFixture.Caller caller = front.new Caller();
         caller.send(get("/safe/1/hold") + get("/safe/2/hold"));
         FrontFixture.await("sent", () -> front.sent("/safe/1/hold") + front.sent("/safe/2/hold") == 2);
-        CountDownLatch held = new CountDownLatch(1);
-        CountDownLatch left = new CountDownLatch(1);
-        front.server().execute(() -> {
-            held.countDown();
-            await(left);
-        });
-        await(held);
+        Runnable letGo = front.holdLoop();
         assertEquals(1, front.target(0).received().size(), "one request at each target");
         int gone = front.target(0).received().get(0).path().equals("/safe/1/hold") ? 0 : 1;
         caller.close();
-        sleep(50);
+        FrontFixture.sleep(50);
         front.target(gone).close();
-        sleep(50);
+        FrontFixture.sleep(50);
         long begun = System.nanoTime();
-        left.countDown();
+        letGo.run();
         FrontFixture.await("given up", () -> front.target(1 - gone).callersGone() >= 1);
         assertTrue(System.nanoTime() - begun < CALLERS_WAIT.toNanos());
     }
@@ -194,7 +164,7 @@
         @Override
         protected int doReadMessages(List<Object> accepted) throws Exception {
             if (accepted.isEmpty()) {
-                sleep(70);
+                FrontFixture.sleep(70);
             }
             return super.doReadMessages(accepted);
         }
@@ -211,20 +181,14 @@
             }
         }
         List<FrontFixture.Caller> callers = new ArrayList<>();
-        CountDownLatch held = new CountDownLatch(1);
-        CountDownLatch here = new CountDownLatch(1);
-        front.server().execute(() -> {
-            held.countDown();
-            await(here);
-        });
-        await(held);
+        Runnable letGo = front.holdLoop();
         for (int i = 0; i < 400; i++) {
             FrontFixture.Caller caller = front.new Caller();
             caller.send(get("/none/" + i));
             callers.add(caller);
         }
         long released = System.nanoTime();
-        here.countDown();
+        letGo.run();
         for (FrontFixture.Caller caller : callers) {
             assertEquals(404, caller.read().status());
             caller.close();
