Bound the interim answers to a request

Beside load the test of endless interim answers took 1.87 s, 1.5 s wanted: 600,000 of them were decoded before the bound of bytes was reached. More than 64 now end the connection; the test takes 0.1 s beside the same load.

--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -49,6 +49,9 @@
     /** Bytes beside an answer's body that may come for one request: heads, chunk sizes, answers to earlier requests. */
     private static final int MAX_OTHER_BYTES = 1 << 20;
 
+    /** Interim answers (status 1xx) to one request; usual servers send one or two. */
+    private static final int MAX_INTERIM = 64;
+
     /** What becomes of a request; exactly one method is called, once. */
     interface Listener {
         /** The whole answer is here; the listener releases its body. */
@@ -73,6 +76,7 @@
     private HttpResponse head;
     private CompositeByteBuf body;
     private long bytesCame;
+    private int interimAnswers;
     private boolean skipping;
     private boolean requestWritten;
     private boolean answerRead;
@@ -102,6 +106,7 @@
         requestWritten = false;
         answerRead = false;
         bytesCame = 0;
+        interimAnswers = 0;
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 forward.method(),
@@ -204,6 +209,10 @@
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipping = true;
+            interimAnswers++;
+            if (interimAnswers > MAX_INTERIM) {
+                fail("more than " + MAX_INTERIM + " interim answers came");
+            }
             return;
         }
         if (request == null || answerRead) {
