Admit requests of teams at a holder in each region of a large fleet

Cause: a host's part of a team's bucket is its part of the demand, and what it may spend beyond that is divided by the number of hosts: 0.05 of a token an interval at 95 hosts. Requests were refused by the number of hosts, not by the team's rate.

Change: above 16 hosts one host of each region, chosen by rendezvous hashing, admits for all hosts of its region; its backup takes over when it does not reply within 200 ms, and then the asking host's own small share decides. Holders report to each other at the shortest interval. Spend rates of other hosts are averaged by time and not by report, and a silent host is not assumed to spend for more than a second.

Before: refused by host count.

--- a/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -31,7 +31,8 @@
  * all hosts report to have admitted, and takes a share of the refill and of the level in proportion to its part of the
  * total demand. While more than a quarter of the bucket is available, a host may exceed its share. The equal share of a
  * host that is not heard stays reserved for it, and a host that hears no other keeps to its own equal share, so that
- * the shares sum to no more than the whole whichever hosts are partitioned.
+ * the shares sum to no more than the whole whichever hosts are partitioned. In a large fleet only the team's
+ * {@link TeamHolders holders} admit its requests, so that a share is several requests whatever the number of hosts.
  *
  * <p>Safe for use by many threads.
  */
@@ -97,15 +98,23 @@
     /** Requests per second below which the demand of a team is left out of reports, to save bytes. */
     private static final double MIN_REPORTED_DEMAND = 0.02;
 
+    /** Fraction of the advance that is left to hosts which do not hold the team, for when they reach no holder. */
+    private static final double NON_HOLDER_FRACTION = 0.3;
+
+    /** Time between two updates of a team that this host neither holds nor sees requests of. */
+    private static final Duration IDLE_REFRESH = Duration.ofSeconds(1);
+
     private final Supplier<DeploymentLimits> terms;
     private final TimeSource time;
     private final HostReports reports;
     private final Supplier<FleetSize> fleet;
+    private final Supplier<TeamHolders> holders;
     private final DoubleSupplier random;
     private final Map<String, TeamBucket> buckets = new HashMap<>();
 
     /** The token bucket of one team as this host estimates it, and this host's share of it. */
     private final class TeamBucket {
+        private final String teamName;
         private final int teamHash;
         private final DemandMeter demand = DemandMeter.of(time, DEMAND_WINDOW);
         private RateLimit contract;
@@ -123,7 +132,8 @@
         private double advanceTokens;
 
         TeamBucket(Team team) {
-            teamHash = Hashes.of(team.name());
+            teamName = team.name();
+            teamHash = Hashes.of(teamName);
             contract = team.rateLimit();
             accountedElsewhere = reports.spentByOthers(teamHash);
             fleetTokens = refillRate()
@@ -159,17 +169,44 @@
             accountedElsewhere = spentElsewhere;
             accountedSpent = spent;
             refreshedNanos = now;
-            double share = demandFraction(size);
+            int admitters = admitters(size);
+            double share = demandFraction(size, admitters);
             double available = availableTokens();
             double maxHostTokens = Math.max(0, share * (available + MAX_DEBT_FRACTION * capacity() * heardPart));
             hostTokens = Math.min(maxHostTokens, hostTokens + refill * share);
-            // If hosts report less often, more is spent before others hear of it, so less is advanced at a time.
             double intervalFactor = ReportPacing.intervalFactor(size.hosts());
             boolean mayAdvance = available > ADVANCE_THRESHOLD_FRACTION * capacity() * heardPart
                     && reports.oldestAge().toNanos() < MAX_REPORT_AGE.toNanos() * intervalFactor;
             double totalAdvance =
                     Math.min(available * MAX_ADVANCE_FACTOR, Math.max(MIN_ADVANCE, available * ADVANCE_FRACTION));
-            advanceTokens = mayAdvance ? totalAdvance / size.heard() / intervalFactor : 0;
+            advanceTokens = mayAdvance ? totalAdvance * advanceFraction(intervalFactor) / admitters : 0;
+        }
+
+        /** Returns the number of hosts that admit requests of the team under the rules by which this host does. */
+        private int admitters(FleetSize size) {
+            TeamHolders current = holders.get();
+            return current.isCandidate(teamName) ? current.admitters(size.heard()) : size.heard();
+        }
+
+        /**
+         * Returns the part of the advance that the hosts like this one divide between each other. Holders report to
+         * each other at the shortest interval; if hosts report less often, more is spent before others hear of it.
+         */
+        private double advanceFraction(double intervalFactor) {
+            TeamHolders current = holders.get();
+            if (current.isEveryHost()) {
+                return 1 / intervalFactor;
+            }
+            return current.isCandidate(teamName) ? 1 - NON_HOLDER_FRACTION : NON_HOLDER_FRACTION / intervalFactor;
+        }
+
+        /** Refreshes the bucket if this host admits requests of the team, or the last time was long ago. */
+        void refreshIfDue(FleetSize size) {
+            if (demand.perSecond() > MIN_REPORTED_DEMAND
+                    || time.nanos() - refreshedNanos >= IDLE_REFRESH.toNanos()
+                    || holders.get().isHolder(teamName)) {
+                refresh(size);
+            }
         }
 
         /** Returns the level less what other hosts have probably spent and not reported yet. */
@@ -178,12 +215,13 @@
         }
 
         /** Returns this host's part of the demand of all hosts that are heard, between 0 and 1. */
-        private double demandFraction(FleetSize size) {
-            List<Double> others = reports.valuesOf(HostReport::teamDemand, teamHash);
-            double base = contract.rate() * BASE_DEMAND_FRACTION / size.hosts();
+        private double demandFraction(FleetSize size, int admitters) {
+            boolean equalToOthers =
+                    holders.get().isEveryHost() || !holders.get().isCandidate(teamName);
+            double base = contract.rate() * BASE_DEMAND_FRACTION / (equalToOthers ? size.hosts() : admitters);
             double ownDemand = demand.perSecond() + base;
-            return ownDemand
-                    / (ownDemand + others.stream().mapToDouble(d -> d + base).sum());
+            double others = reports.sumOf(HostReport::teamDemand, teamHash);
+            return ownDemand / (ownDemand + others + (admitters - 1) * base);
         }
 
         boolean tryTake() {
@@ -220,11 +258,13 @@
             TimeSource time,
             HostReports reports,
             Supplier<FleetSize> fleet,
+            Supplier<TeamHolders> holders,
             DoubleSupplier random) {
         this.terms = terms;
         this.time = time;
         this.reports = reports;
         this.fleet = fleet;
+        this.holders = holders;
         this.random = random;
     }
 
@@ -234,12 +274,14 @@
             TimeSource time,
             HostReports reports,
             Supplier<FleetSize> fleet,
+            Supplier<TeamHolders> holders,
             DoubleSupplier random) {
         return new TeamShares(
                 Validate.notNull(terms, "terms"),
                 Validate.notNull(time, "time"),
                 Validate.notNull(reports, "reports"),
                 Validate.notNull(fleet, "fleet"),
+                Validate.notNull(holders, "holders"),
                 Validate.notNull(random, "random"));
     }
 
@@ -263,7 +305,27 @@
     /** Updates all buckets from the latest reports; to be called several times a second. */
     public synchronized void tick() {
         FleetSize size = fleet.get();
-        buckets.values().forEach(bucket -> bucket.refresh(size));
+        buckets.values().forEach(bucket -> bucket.refreshIfDue(size));
+    }
+
+    /**
+     * Returns the hosts that need this host's reports at the shortest interval, since they admit requests of the same
+     * teams; empty if every host admits for itself and all reports go to all hosts.
+     */
+    public synchronized Set<String> otherAdmitters() {
+        Set<String> hosts = new HashSet<>();
+        for (TeamBucket bucket : buckets.values()) {
+            if (bucket.demand.perSecond() > MIN_REPORTED_DEMAND && holders.get().isCandidate(bucket.teamName)) {
+                hosts.addAll(holders.get().holdersElsewhere(bucket.teamName));
+                hosts.addAll(reports.hostsWith(HostReport::teamDemand, bucket.teamHash));
+            }
+        }
+        return holders.get().isEveryHost() ? Set.of() : hosts;
+    }
+
+    /** Returns whether requests of a team are limited. */
+    public synchronized boolean isLimited(String team) {
+        return buckets.containsKey(team);
     }
 
     /** Admits one request of a team, or returns why not; empty if admitted or if the team has no limit. */
@@ -272,6 +334,9 @@
         if (bucket == null) {
             return Optional.empty();
         }
+        if (bucket.demand.perSecond() <= MIN_REPORTED_DEMAND) {
+            bucket.refreshIfDue(fleet.get());
+        }
         bucket.demand.count();
         return bucket.tryTake() ? Optional.empty() : Optional.of(bucket.limitExceeded());
     }
--- a/core/src/main/java/org/knapweedhatch/report/HostReports.java
+++ b/core/src/main/java/org/knapweedhatch/report/HostReports.java
@@ -1,7 +1,6 @@
 package org.knapweedhatch.report;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,11 +16,17 @@
  */
 public final class HostReports {
 
-    /** Age at which a report expires in a fleet that reports at the shortest interval. */
+    /**
+     * Age at which a report expires in a fleet that reports at the shortest interval. A host that admits for others
+     * reports at that interval in any fleet, so it is not assumed to spend for longer after its last report.
+     */
     public static final Duration MAX_AGE = Duration.ofMillis(1_000);
 
-    /** Weight of the latest report in the moving average of a host's spend rates, which spans a few reports. */
-    private static final double SMOOTHING = 0.3;
+    /**
+     * Time constant of the moving average of a host's spend rates; a few reports. Weighted by time and not by report,
+     * since reports that were held up arrive together, and the rate between two of them means nothing.
+     */
+    private static final double SMOOTHING_NANOS = Duration.ofMillis(600).toNanos();
 
     /**
      * Age of a report when it is received: network delay, and the wait for a tick at the sender and at the receiver.
@@ -70,12 +75,13 @@
      */
     private Map<Integer, Double> updateSpendRates(Entry before, HostReport after) {
         long spanNanos = Math.max(1, time.nanos() - before.receivedNanos());
+        double weight = -Math.expm1(-spanNanos / SMOOTHING_NANOS);
         Map<Integer, Double> spendRates = new HashMap<>();
         after.teamSpent().forEach((team, spent) -> {
             long newlySpent = Math.max(0, spent - before.report().teamSpent().getOrDefault(team, spent));
             spentByOthers.merge(team, newlySpent, Long::sum);
-            double average = before.spendRates().getOrDefault(team, (double) newlySpent / spanNanos);
-            spendRates.put(team, average + SMOOTHING * ((double) newlySpent / spanNanos - average));
+            double average = before.spendRates().getOrDefault(team, 0.0);
+            spendRates.put(team, average + weight * ((double) newlySpent / spanNanos - average));
         });
         return spendRates;
     }
@@ -89,11 +95,12 @@
 
     /** Returns an estimate of the requests of a team that hosts with current reports admitted since those reports. */
     public synchronized double estimatedUnreportedSpend(int team) {
+        Integer key = team;
         long now = time.nanos();
         double requests = 0;
         for (Entry entry : entries.values()) {
-            double spanNanos = now - entry.receivedNanos() + DELIVERY_DELAY_NANOS;
-            requests += entry.spendRates().getOrDefault(team, 0.0) * spanNanos;
+            double spanNanos = assumedSpendingNanos(entry, now) + DELIVERY_DELAY_NANOS;
+            requests += entry.spendRates().getOrDefault(key, 0.0) * spanNanos;
         }
         return requests;
     }
@@ -117,9 +124,13 @@
         inFlight.values().removeIf(count -> count == 0);
     }
 
+    private static long assumedSpendingNanos(Entry entry, long now) {
+        return Math.min(now - entry.receivedNanos(), MAX_AGE.toNanos());
+    }
+
     /** Adds the estimated requests that a host admitted between its last report and its expiry. */
     private void addAssumedSpend(Entry entry) {
-        long spanNanos = time.nanos() - entry.receivedNanos();
+        long spanNanos = assumedSpendingNanos(entry, time.nanos());
         entry.spendRates().forEach((team, rate) -> spentByOthers.merge(team, Math.round(rate * spanNanos), Long::sum));
     }
 
@@ -150,13 +161,23 @@
         return entries.size();
     }
 
-    /**
-     * Returns the value for one name hash in each current report, in no particular order; 0 where a report has none.
-     */
-    public synchronized List<Double> valuesOf(Function<HostReport, Map<Integer, Double>> part, int name) {
-        List<Double> values = new ArrayList<>();
-        entries.values().forEach(entry -> values.add(part.apply(entry.report()).getOrDefault(name, 0.0)));
-        return values;
+    /** Returns the sum over the current reports of the value for one name hash. */
+    public synchronized double sumOf(Function<HostReport, Map<Integer, Double>> part, int name) {
+        Integer key = name;
+        double sum = 0;
+        for (Entry entry : entries.values()) {
+            sum += part.apply(entry.report()).getOrDefault(key, 0.0);
+        }
+        return sum;
+    }
+
+    /** Returns the hosts whose current reports have a value above zero for one name hash. */
+    public synchronized List<String> hostsWith(Function<HostReport, Map<Integer, Double>> part, int name) {
+        Integer key = name;
+        return entries.entrySet().stream()
+                .filter(entry -> part.apply(entry.getValue().report()).getOrDefault(key, 0.0) > 0)
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     /**
--- a/core/src/main/java/org/knapweedhatch/report/ReportPacing.java
+++ b/core/src/main/java/org/knapweedhatch/report/ReportPacing.java
@@ -9,7 +9,7 @@
 public final class ReportPacing {
 
     /** Interval in a small fleet; about the time within which the load of a target changes. */
-    private static final Duration MIN_INTERVAL = Duration.ofMillis(200);
+    public static final Duration MIN_INTERVAL = Duration.ofMillis(200);
 
     /**
      * Largest number of reports per second that one host sends and receives: 1 % of a core at 0.13 ms for sending and
--- a/core/src/test/java/org/knapweedhatch/quota/TeamShareSimulation.java
+++ b/core/src/test/java/org/knapweedhatch/quota/TeamShareSimulation.java
@@ -59,6 +59,7 @@
                     time,
                     reports,
                     () -> FleetSize.of(knownHosts, reports.hostCount()),
+                    TeamHolders::everyHost,
                     random::nextDouble);
             shares.configure(List.of(team));
         }
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -3,9 +3,11 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import org.knapweedhatch.admin.Admin;
 import org.knapweedhatch.admin.Metrics;
@@ -26,15 +28,18 @@
 import org.knapweedhatch.member.Membership;
 import org.knapweedhatch.member.MembershipView;
 import org.knapweedhatch.message.HeaderScheme;
+import org.knapweedhatch.message.OutgoingMessage;
 import org.knapweedhatch.message.PeerMessage;
 import org.knapweedhatch.place.Placer;
 import org.knapweedhatch.place.PlacerContext;
 import org.knapweedhatch.platform.store.HttpPlatform;
 import org.knapweedhatch.platform.wire.PlatformHeaders;
 import org.knapweedhatch.quota.FleetSize;
-import org.knapweedhatch.quota.RateLimitExceeded;
+import org.knapweedhatch.quota.RateDecision;
 import org.knapweedhatch.quota.ServiceRetryBudget;
 import org.knapweedhatch.quota.ServingHostCounter;
+import org.knapweedhatch.quota.TeamAdmission;
+import org.knapweedhatch.quota.TeamHolders;
 import org.knapweedhatch.quota.TeamShares;
 import org.knapweedhatch.report.HostReport;
 import org.knapweedhatch.report.HostReports;
@@ -83,6 +88,7 @@
     private final ServingHostCounter hosts;
     private final HostReports reports;
     private final TeamShares shares;
+    private final TeamAdmission admission;
     private final ServiceRetryBudget retries;
     private final PeerFetcher news;
     private final Placer placer;
@@ -99,8 +105,11 @@
     private volatile boolean leaving;
     private volatile boolean started;
     private volatile MembershipView view;
+    private volatile TeamHolders holders = TeamHolders.everyHost();
     private volatile boolean listening;
+    private volatile int aliveOthers;
     private long reportedNanos;
+    private long reportedToAdmittersNanos;
     private long reportsSent;
 
     private FrontHost(FrontSettings settings, EventLog log, TimeSource time) {
@@ -118,7 +127,9 @@
                 time,
                 reports,
                 this::fleet,
+                this::holders,
                 () -> ThreadLocalRandom.current().nextDouble());
+        admission = TeamAdmission.of(self.name(), shares, this::holders, this::send, time);
         retries = ServiceRetryBudget.of(this::terms, this::fleet);
         placer = Placer.of(this);
         beliefs.onChange(this::believed);
@@ -202,6 +213,8 @@
         view = next;
         watch.seen(next);
         directory = HostDirectory.of(next);
+        aliveOthers = otherHosts().size();
+        holders = TeamHolders.of(next, hosts.count(), holders);
     }
 
     private void believed() {
@@ -218,13 +231,21 @@
         Optional.ofNullable(view).ifPresent(hosts::update);
         reports.tick();
         shares.tick();
+        admission.tick();
         placer.tick();
         news.tick();
         // Ticks come a little early or late, so half of one does not matter.
         Duration sinceReport = time.since(reportedNanos).plus(Membership.TICK.dividedBy(2));
         if (sinceReport.compareTo(ReportPacing.interval(hosts.count())) >= 0) {
             reportedNanos = time.nanos();
-            report();
+            reportedToAdmittersNanos = reportedNanos;
+            report(otherHosts());
+        } else if (time.since(reportedToAdmittersNanos)
+                        .plus(Membership.TICK.dividedBy(2))
+                        .compareTo(ReportPacing.MIN_INTERVAL)
+                >= 0) {
+            reportedToAdmittersNanos = time.nanos();
+            report(shares.otherAdmitters());
         }
     }
 
@@ -250,7 +271,10 @@
         }
     }
 
-    private void report() {
+    private void report(Collection<String> receivers) {
+        if (receivers.isEmpty()) {
+            return;
+        }
         Map<Integer, Double> teamDemand = shares.demandByTeam();
         HostReport report = new HostReport(
                 ++reportsSent,
@@ -259,15 +283,23 @@
                 shares.spentByTeam(teamDemand.keySet()),
                 placer.demandByService(),
                 beliefs.versions());
+        peers.send(receivers, report);
+    }
+
+    private List<String> otherHosts() {
         MembershipView now = view;
-        if (now != null) {
-            List<String> others = now.members().values().stream()
-                    .filter(member -> !member.name().equals(settings.host().name()))
-                    .filter(member -> member.state() == MemberState.ALIVE || member.state() == MemberState.LEAVING)
-                    .map(Member::name)
-                    .toList();
-            peers.send(others, report);
+        if (now == null) {
+            return List.of();
         }
+        return now.members().values().stream()
+                .filter(member -> !member.name().equals(settings.host().name()))
+                .filter(member -> member.state() == MemberState.ALIVE || member.state() == MemberState.LEAVING)
+                .map(Member::name)
+                .toList();
+    }
+
+    private void send(OutgoingMessage message) {
+        peers.send(message);
     }
 
     private void receive(String from, long incarnation, PeerMessage message) {
@@ -276,6 +308,8 @@
             String region =
                     now.member(from).map(member -> member.host().region()).orElse("");
             reports.receive(from, region, incarnation, report);
+        } else {
+            admission.receive(from, message);
         }
     }
 
@@ -285,7 +319,12 @@
         if (now == null || now.members().size() < 2) {
             return FleetSize.unknown();
         }
-        return FleetSize.of(hosts.count(), reports.hostCount());
+        // Reports of a host that fell silent are kept for a while, in a large fleet longer than its membership.
+        return FleetSize.of(hosts.count(), Math.min(reports.hostCount(), aliveOthers));
+    }
+
+    private TeamHolders holders() {
+        return holders;
     }
 
     @Override
@@ -389,13 +428,13 @@
     }
 
     @Override
-    public Optional<RateLimitExceeded> acquireRate(String team) {
-        return shares.trySpend(team);
+    public CompletableFuture<RateDecision> acquireRate(String team) {
+        return admission.acquire(team);
     }
 
     @Override
-    public void refundRate(String team) {
-        shares.refund(team);
+    public void refundRate(String team, RateDecision.Granted granted) {
+        admission.refund(team, granted);
     }
 
     @Override
--- a/daemon/src/main/java/org/knapweedhatch/front/Admission.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/Admission.java
@@ -18,7 +18,7 @@
 import org.knapweedhatch.world.Route;
 import org.knapweedhatch.world.Team;
 
-/** Determines the route, team and service of a request, or why it is refused. */
+/** Determines the route, team and service of a request, or why it is refused; the team's rate is checked apart. */
 final class Admission {
 
     private final FrontContext context;
@@ -32,7 +32,7 @@
     sealed interface Decision {}
 
     /**
-     * The request is admitted.
+     * The request is allowed, within its team's rate.
      *
      * @param route route of the request
      * @param team name of the team; empty on routes that are open to all
@@ -67,20 +67,6 @@
             return refused(toReason(rejected.reason()), "");
         }
         Team team = configuration.teams().get(((KeyCheck.Accepted) check).key().team());
-        Optional<RateLimitExceeded> spent = context.acquireRate(team.name());
-        if (spent.isPresent()) {
-            context.log()
-                    .line(LineKind.LIMIT)
-                    .put("request", request.headers().get(context.headerScheme().requestId()))
-                    .put("team", team.name())
-                    .put("rate", spent.get().rate())
-                    .put("level", spent.get().fleetTokens())
-                    .put("own", spent.get().hostTokens())
-                    .put("hosts", spent.get().fleet().hosts())
-                    .put("heard", spent.get().fleet().heard())
-                    .write();
-            return new Refused(Refusal.of(Reason.LIMITED).retryAfter(spent.get().retryAfter()), team.name());
-        }
         return admitted(
                 route.get(),
                 team.name(),
@@ -88,6 +74,21 @@
                 intersection(route.get().regions(), team.regions()));
     }
 
+    /** Returns the refusal of a request beyond its team's rate, and logs what it was decided by. */
+    Refused overLimit(HttpRequest request, String team, RateLimitExceeded exceeded) {
+        context.log()
+                .line(LineKind.LIMIT)
+                .put("request", request.headers().get(context.headerScheme().requestId()))
+                .put("team", team)
+                .put("rate", exceeded.rate())
+                .put("level", exceeded.fleetTokens())
+                .put("own", exceeded.hostTokens())
+                .put("hosts", exceeded.fleet().hosts())
+                .put("heard", exceeded.fleet().heard())
+                .write();
+        return new Refused(Refusal.of(Reason.LIMITED).retryAfter(exceeded.retryAfter()), team);
+    }
+
     private Decision admitted(Route route, String team, int priority, Set<String> regions) {
         Destination destination = destinations.next(route);
         return new Admitted(route, team, priority, destination.service(), regions);
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.knapweedhatch.answer.Outcome;
 import org.knapweedhatch.answer.Reason;
@@ -20,6 +21,7 @@
 import org.knapweedhatch.place.AttemptOutcome;
 import org.knapweedhatch.place.Placement;
 import org.knapweedhatch.place.PlacementRequest;
+import org.knapweedhatch.quota.RateDecision;
 import org.knapweedhatch.target.KnownTarget;
 import org.knapweedhatch.world.RequestKind;
 
@@ -54,6 +56,7 @@
     private final CompositeByteBuf body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
     private final Set<String> triedTargets = new HashSet<>();
     private Admission.Admitted admitted;
+    private RateDecision.Granted granted;
     private long deadlineNanos;
     private ScheduledFuture<?> deadlineTimer;
     private Attempt attempt;
@@ -105,7 +108,36 @@
             refuse(refused.refusal(), refused.team());
             return;
         }
-        admitted = (Admission.Admitted) decision;
+        Admission.Admitted allowed = (Admission.Admitted) decision;
+        if (allowed.team().isEmpty()) {
+            start(allowed, loop);
+            return;
+        }
+        CompletableFuture<RateDecision> rate = context.acquireRate(allowed.team());
+        if (rate.isDone()) {
+            rateDecided(allowed, rate.join(), loop);
+        } else {
+            rate.thenAcceptAsync(decided -> rateDecided(allowed, decided, loop), loop);
+        }
+    }
+
+    private void rateDecided(Admission.Admitted allowed, RateDecision decided, EventLoop loop) {
+        if (decided instanceof RateDecision.Granted token) {
+            granted = token;
+            if (finished) {
+                context.refundRate(allowed.team(), token);
+            } else {
+                start(allowed, loop);
+            }
+        } else if (!finished) {
+            Admission.Refused refused =
+                    server.admission().overLimit(head, allowed.team(), ((RateDecision.Refused) decided).exceeded());
+            refuse(refused.refusal(), refused.team());
+        }
+    }
+
+    private void start(Admission.Admitted allowed, EventLoop loop) {
+        admitted = allowed;
         Duration routeTimeout = admitted.route().policy().timeout();
         Duration timeout =
                 callerTimeout().filter(p -> p.compareTo(routeTimeout) < 0).orElse(routeTimeout);
@@ -127,6 +159,7 @@
     private void startAttempt() {
         Duration left = Duration.ofNanos(deadlineNanos - context.time().nanos());
         if (left.compareTo(MIN_ATTEMPT_TIME) < 0) {
+            refundIfUnsent();
             refuse(Refusal.of(Reason.BUSY).retryAfter(DEFAULT_RETRY_AFTER), admitted.team());
             return;
         }
@@ -173,12 +206,16 @@
 
     private void refusePlacement(Placement.Refused refused) {
         Reason reason = refused.cause() == Placement.Cause.BUSY ? Reason.BUSY : Reason.NO_TARGET;
-        if (attemptsSent == 0) {
-            context.refundRate(admitted.team());
-        }
+        refundIfUnsent();
         refuse(Refusal.of(reason).retryAfter(refused.retryAfter()), admitted.team());
     }
 
+    private void refundIfUnsent() {
+        if (attemptsSent == 0 && granted != null) {
+            context.refundRate(admitted.team(), granted);
+        }
+    }
+
     private RequestKind kind() {
         return admitted.route().policy().kind();
     }
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
@@ -1,12 +1,12 @@
 package org.knapweedhatch.front;
 
-import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.key.KeyRing;
 import org.knapweedhatch.log.EventLog;
 import org.knapweedhatch.message.HeaderScheme;
 import org.knapweedhatch.place.Placer;
-import org.knapweedhatch.quota.RateLimitExceeded;
+import org.knapweedhatch.quota.RateDecision;
 import org.knapweedhatch.world.Configuration;
 
 /** The services of a host that the proxy uses to handle requests; called on the event loop of the proxy. */
@@ -36,11 +36,11 @@
     /** Returns the load balancer that picks targets. */
     Placer placer();
 
-    /** Takes one request from a team's rate limit; returns the details if the limit is used up, else empty. */
-    Optional<RateLimitExceeded> acquireRate(String team);
+    /** Takes one request from a team's rate limit; complete on return unless another host decides. */
+    CompletableFuture<RateDecision> acquireRate(String team);
 
     /** Returns one request to a team's rate limit, as it was not sent to any target. */
-    void refundRate(String team);
+    void refundRate(String team, RateDecision.Granted granted);
 
     /** Called when a target answers again after it could not be reached. */
     void targetReachable(String target);
--- a/daemon/src/main/java/org/knapweedhatch/peer/ReportCodec.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/ReportCodec.java
@@ -1,21 +1,86 @@
 package org.knapweedhatch.peer;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.knapweedhatch.helper.Validate;
 import org.knapweedhatch.peer.proto.HostReportRecord;
+import org.knapweedhatch.peer.proto.RateExceededRecord;
+import org.knapweedhatch.peer.proto.TokenReplyRecord;
+import org.knapweedhatch.peer.proto.TokenRequestRecord;
+import org.knapweedhatch.peer.proto.TokenReturnRecord;
+import org.knapweedhatch.quota.FleetSize;
+import org.knapweedhatch.quota.RateLimitExceeded;
+import org.knapweedhatch.quota.TokenReply;
+import org.knapweedhatch.quota.TokenRequest;
+import org.knapweedhatch.quota.TokenReturn;
 import org.knapweedhatch.report.HostReport;
 
-/** The messages about the load that hosts carry. */
+/** The messages about the load that hosts carry, and about the limits that they share. */
 public final class ReportCodec implements PeerCodec {
 
     private static final double DEMAND_UNIT = 1_000;
 
     @Override
     public List<MessageKind<?>> kinds() {
-        return List.of(new MessageKind<>(
-                70, HostReport.class, ReportCodec::report, body -> report(HostReportRecord.parseFrom(body))));
+        return List.of(
+                new MessageKind<>(
+                        70, HostReport.class, ReportCodec::report, body -> report(HostReportRecord.parseFrom(body))),
+                new MessageKind<>(
+                        71,
+                        TokenRequest.class,
+                        message -> TokenRequestRecord.newBuilder()
+                                .setId(message.id())
+                                .setTeam(message.team())
+                                .build(),
+                        body -> tokenRequest(TokenRequestRecord.parseFrom(body))),
+                new MessageKind<>(
+                        72,
+                        TokenReply.class,
+                        ReportCodec::tokenReply,
+                        body -> tokenReply(TokenReplyRecord.parseFrom(body))),
+                new MessageKind<>(
+                        73,
+                        TokenReturn.class,
+                        message -> TokenReturnRecord.newBuilder()
+                                .setTeam(message.team())
+                                .build(),
+                        body -> new TokenReturn(Validate.notEmpty(
+                                TokenReturnRecord.parseFrom(body).getTeam(), "team"))));
+    }
+
+    private static TokenRequest tokenRequest(TokenRequestRecord record) {
+        return new TokenRequest(record.getId(), Validate.notEmpty(record.getTeam(), "team"));
+    }
+
+    private static TokenReplyRecord tokenReply(TokenReply message) {
+        TokenReplyRecord.Builder record = TokenReplyRecord.newBuilder().setId(message.id());
+        message.exceeded()
+                .ifPresent(exceeded -> record.setExceeded(RateExceededRecord.newBuilder()
+                        .setRetryAfterNanos(exceeded.retryAfter().toNanos())
+                        .setRate(exceeded.rate())
+                        .setFleetTokens(exceeded.fleetTokens())
+                        .setHostTokens(exceeded.hostTokens())
+                        .setHosts(exceeded.fleet().hosts())
+                        .setHeard(exceeded.fleet().heard())));
+        return record.build();
+    }
+
+    private static TokenReply tokenReply(TokenReplyRecord record) {
+        if (!record.hasExceeded()) {
+            return new TokenReply(record.getId(), Optional.empty());
+        }
+        RateExceededRecord exceeded = record.getExceeded();
+        return new TokenReply(
+                record.getId(),
+                Optional.of(new RateLimitExceeded(
+                        Duration.ofNanos(Validate.notNegative(exceeded.getRetryAfterNanos(), "retry after")),
+                        exceeded.getRate(),
+                        exceeded.getFleetTokens(),
+                        exceeded.getHostTokens(),
+                        new FleetSize(exceeded.getHosts(), exceeded.getHeard()))));
     }
 
     private static HostReportRecord report(HostReport message) {
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -17,6 +17,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -30,6 +32,7 @@
 import org.knapweedhatch.place.Placer;
 import org.knapweedhatch.place.PlacerContext;
 import org.knapweedhatch.quota.FleetSize;
+import org.knapweedhatch.quota.RateDecision;
 import org.knapweedhatch.quota.RateLimitExceeded;
 import org.knapweedhatch.report.HostReports;
 import org.knapweedhatch.target.KnownTarget;
@@ -70,6 +73,11 @@
     private volatile KeyRing keys = KeyRing.empty();
     private volatile boolean leaving;
     volatile Optional<RateLimitExceeded> spent = Optional.empty();
+    /** Decision on all requests of the team, perhaps still open; null to decide by {@link #spent}. */
+    volatile CompletableFuture<RateDecision> rateDecision;
+    /** Tokens that were returned because their requests were not sent. */
+    final List<RateDecision.Granted> refunds = new CopyOnWriteArrayList<>();
+
     volatile boolean mayRetry = true;
     /** Runs on the event loop of the server at each admission. */
     volatile Runnable onAcquireRate = () -> {};
@@ -317,13 +325,19 @@
     }
 
     @Override
-    public Optional<RateLimitExceeded> acquireRate(String team) {
+    public CompletableFuture<RateDecision> acquireRate(String team) {
         onAcquireRate.run();
-        return spent;
+        if (rateDecision != null) {
+            return rateDecision;
+        }
+        return CompletableFuture.completedFuture(
+                spent.<RateDecision>map(RateDecision.Refused::new).orElseGet(() -> new RateDecision.Granted("")));
     }
 
     @Override
-    public void refundRate(String team) {}
+    public void refundRate(String team, RateDecision.Granted granted) {
+        refunds.add(granted);
+    }
 
     @Override
     public void targetReachable(String target) {}
--- a/daemon/src/test/java/org/knapweedhatch/peer/PeerCodecsTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/peer/PeerCodecsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.protobuf.ByteString;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.Arbitraries;
@@ -30,6 +31,11 @@
 import org.knapweedhatch.member.Sighting;
 import org.knapweedhatch.message.PeerMessage;
 import org.knapweedhatch.peer.proto.Envelope;
+import org.knapweedhatch.quota.FleetSize;
+import org.knapweedhatch.quota.RateLimitExceeded;
+import org.knapweedhatch.quota.TokenReply;
+import org.knapweedhatch.quota.TokenRequest;
+import org.knapweedhatch.quota.TokenReturn;
 import org.knapweedhatch.release.OfferRequest;
 import org.knapweedhatch.release.PieceAnswer;
 import org.knapweedhatch.release.PieceRequest;
@@ -50,6 +56,20 @@
         assertEquals(message, codecs.decode("peer", envelope).orThrow());
     }
 
+    @Example
+    void decisionsOnTokensComeBackAsTheyWere() {
+        RateLimitExceeded exceeded =
+                new RateLimitExceeded(Duration.ofMillis(250), 5.5, -1.25, 0.5, new FleetSize(95, 94));
+        for (PeerMessage message : List.of(
+                new TokenRequest(7, "crew-1"),
+                new TokenReply(7, Optional.empty()),
+                new TokenReply(8, Optional.of(exceeded)),
+                new TokenReturn("crew-1"))) {
+            Envelope envelope = codecs.encode(message).build();
+            assertEquals(message, codecs.decode("peer", envelope).orThrow());
+        }
+    }
+
     @Property(tries = 20_000, seed = "42")
     void randomBytesEndInAMessageOrAFault(@ForAll("kinds") int kind, @ForAll byte[] body) {
         decode(kind, ByteString.copyFrom(body));
