Let two hosts of a failure domain watch the store and tell the others

Change: the first two hosts of a failure domain watch; they send changes to the other hosts of the domain with the version before them. A host that lacks changes fetches all objects of the kind from the sender, or from any host that reports a newer version for 0.6 s. Changes that overlap with known ones never bring back a deleted object. The store counts as lost at the others while both watching hosts say so. A host that becomes a watching one continues from what it was told.

--- a/core/src/main/java/org/knapweedhatch/platform/Changes.java
+++ b/core/src/main/java/org/knapweedhatch/platform/Changes.java
@@ -1,6 +1,9 @@
 package org.knapweedhatch.platform;
 
 import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * The changes of objects under a name prefix since a version of the store.
@@ -15,6 +18,18 @@
         deleted = List.copyOf(deleted);
     }
 
+    /** Returns the changes that lead from one listing to a later one. */
+    public static Changes between(Listing before, Listing after) {
+        Map<String, StoredObject> old =
+                before.objects().stream().collect(Collectors.toMap(StoredObject::name, Function.identity()));
+        List<StoredObject> changed = after.objects().stream()
+                .filter(object -> !old.containsKey(object.name())
+                        || old.get(object.name()).version() < object.version())
+                .toList();
+        after.objects().forEach(object -> old.remove(object.name()));
+        return new Changes(changed, List.copyOf(old.keySet()), after.asOf());
+    }
+
     /** Returns whether there are no changes. */
     public boolean isEmpty() {
         return changed.isEmpty() && deleted.isEmpty();
--- a/core/src/main/java/org/knapweedhatch/platform/ObjectCache.java
+++ b/core/src/main/java/org/knapweedhatch/platform/ObjectCache.java
@@ -51,7 +51,9 @@
 
     /** Applies changes and returns those that were newer than the cached state. */
     public synchronized Changes apply(Changes changes) {
+        // Changes from other hosts may overlap with known ones; an object deleted meanwhile must not come back.
         List<StoredObject> newer = changes.changed().stream()
+                .filter(object -> object.version() > asOf)
                 .filter(object -> !objects.containsKey(object.name())
                         || objects.get(object.name()).version() < object.version())
                 .toList();
@@ -82,6 +84,11 @@
         return new Listing(List.copyOf(objects.values()), asOf);
     }
 
+    /** Returns the version of the store up to which all changes are cached; 0 before the first listing. */
+    public synchronized long asOf() {
+        return asOf;
+    }
+
     /** Returns the version of the last change in the cache; caches with equal content have equal versions. */
     public synchronized long version() {
         return version;
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -51,7 +51,9 @@
 import org.knapweedhatch.store.ObjectKind;
 import org.knapweedhatch.store.PeerFetcher;
 import org.knapweedhatch.store.StoreCache;
+import org.knapweedhatch.store.StoreRelay;
 import org.knapweedhatch.store.StoreWatcher;
+import org.knapweedhatch.store.WatchRole;
 import org.knapweedhatch.world.Configuration;
 import org.knapweedhatch.world.DeploymentLimits;
 import org.knapweedhatch.world.Host;
@@ -91,6 +93,8 @@
     private final TeamAdmission admission;
     private final ServiceRetryBudget retries;
     private final PeerFetcher news;
+    private final WatchRole watchRole;
+    private final StoreRelay relay;
     private final Placer placer;
     private final Metrics metrics = Metrics.create();
     private final RequestMetrics meters = RequestMetrics.of(metrics);
@@ -120,6 +124,7 @@
         Host self = settings.host();
         beliefs = StoreCache.of(settings.domains(), time, log);
         watch = new HostWatch(log);
+        watchRole = WatchRole.of(self.domain(), time);
         hosts = ServingHostCounter.of(time);
         reports = HostReports.of(time);
         shares = TeamShares.of(
@@ -141,13 +146,19 @@
                 .tickTask(this::tick)
                 .configuration(() -> ready() ? beliefs.configuration().number() : 0)
                 .start();
-        news = new PeerFetcher(beliefs, reports, peers::fetch, time, log);
-        started = true;
+        news = new PeerFetcher(beliefs, reports, watchRole::watches, peers::fetch, time, log);
+        relay = new StoreRelay(beliefs, watchRole, news, peers::send, time);
+        beliefs.relay(relay);
         directory = HostDirectory.of(peers.view());
+        started = true;
         HttpPlatform store = HttpPlatform.create(caller, URI.create("http://" + settings.platform()), "");
         feeds = Arrays.stream(ObjectKind.values())
                 .map(kind -> StoreWatcher.start(
-                        store, kind.prefix(), beliefs.listener(kind), () -> ReportPacing.intervalFactor(hosts.count())))
+                        store,
+                        kind.prefix(),
+                        beliefs.listener(kind),
+                        watchRole::watches,
+                        () -> ReportPacing.intervalFactor(hosts.count())))
                 .toList();
         registry = HostRegistry.start(store, self, peers, log);
         server = FrontServer.of(this);
@@ -212,6 +223,7 @@
     private void viewed(MembershipView next) {
         view = next;
         watch.seen(next);
+        watchRole.update(next);
         directory = HostDirectory.of(next);
         aliveOthers = otherHosts().size();
         holders = TeamHolders.of(next, hosts.count(), holders);
@@ -234,6 +246,7 @@
         admission.tick();
         placer.tick();
         news.tick();
+        relay.tick();
         // Ticks come a little early or late, so half of one does not matter.
         Duration sinceReport = time.since(reportedNanos).plus(Membership.TICK.dividedBy(2));
         if (sinceReport.compareTo(ReportPacing.interval(hosts.count())) >= 0) {
@@ -308,8 +321,9 @@
             String region =
                     now.member(from).map(member -> member.host().region()).orElse("");
             reports.receive(from, region, incarnation, report);
-        } else {
+        } else if (started) {
             admission.receive(from, message);
+            relay.receive(from, message);
         }
     }
 
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerCodecs.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerCodecs.java
@@ -38,7 +38,8 @@
                 new ConfigurationCodec(),
                 new SteerCodec(),
                 new ClaimCodec(),
-                new ReportCodec());
+                new ReportCodec(),
+                new StoreCodec());
     }
 
     private void add(MessageKind<?> kind) {
--- a/daemon/src/main/java/org/knapweedhatch/store/PeerFetcher.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/PeerFetcher.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.fault.Result;
 import org.knapweedhatch.log.EventLog;
@@ -17,13 +18,17 @@
 /**
  * Fetches objects from another host that this one has not received from the store.
  *
- * <p>This keeps a host current when the store refuses it or its connection to the store is dead. Not thread-safe.
+ * <p>This keeps a host current when the store refuses it or its connection to the store is dead. Not thread-safe except
+ * for {@link #fetch}.
  */
 public final class PeerFetcher {
 
     /** How long this host may lag behind another one before it fetches from it, while the store answers. */
     private static final Duration MAX_LAG = Duration.ofMillis(1_200);
 
+    /** The same on a host that does not watch the store; watching hosts usually send it all changes before. */
+    private static final Duration MAX_LAG_WITHOUT_WATCH = Duration.ofMillis(600);
+
     /** The same while the store does not answer or the cache is incomplete. */
     private static final Duration MAX_LAG_STORE_UNAVAILABLE = Duration.ofMillis(150);
 
@@ -35,6 +40,7 @@
 
     private final StoreCache cache;
     private final HostReports reports;
+    private final BooleanSupplier watches;
     private final BiFunction<String, String, CompletableFuture<Result<byte[]>>> fetch;
     private final TimeSource time;
     private final EventLog log;
@@ -50,16 +56,19 @@
     /**
      * Creates a fetcher.
      *
+     * @param watches whether this host watches the store
      * @param fetch fetches bytes by name from a host: takes the host and the name
      */
     public PeerFetcher(
             StoreCache cache,
             HostReports reports,
+            BooleanSupplier watches,
             BiFunction<String, String, CompletableFuture<Result<byte[]>>> fetch,
             TimeSource time,
             EventLog log) {
         this.cache = cache;
         this.reports = reports;
+        this.watches = watches;
         this.fetch = fetch;
         this.time = time;
         this.log = log;
@@ -101,16 +110,23 @@
             state.knownVersion = known;
             state.sinceNanos = now;
         }
-        Duration maxLag = cache.isUnavailable(kind) || !cache.complete() ? MAX_LAG_STORE_UNAVAILABLE : MAX_LAG;
-        boolean due = now - state.sinceNanos >= maxLag.toNanos()
+        boolean due = now - state.sinceNanos >= maxLag(kind).toNanos()
                 && now - state.lastFetchNanos >= MIN_FETCH_INTERVAL.toNanos();
         if (due) {
             state.lastFetchNanos = now;
-            fetchFrom(kind, latest.getKey(), latest.getValue());
+            fetch(kind, latest.getKey(), latest.getValue());
+        }
+    }
+
+    private Duration maxLag(ObjectKind kind) {
+        if (cache.isUnavailable(kind) || !cache.complete()) {
+            return MAX_LAG_STORE_UNAVAILABLE;
         }
+        return watches.getAsBoolean() ? MAX_LAG : MAX_LAG_WITHOUT_WATCH;
     }
 
-    private void fetchFrom(ObjectKind kind, String host, long version) {
+    /** Fetches all objects of a kind from a host that knows a version this one does not. */
+    void fetch(ObjectKind kind, String host, long version) {
         fetch.apply(host, PREFIX + kind.name()).thenAccept(response -> {
             if (response.isOk()) {
                 accept(kind, host, response.orThrow(), version);
--- a/daemon/src/main/java/org/knapweedhatch/store/StoreCache.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreCache.java
@@ -47,6 +47,25 @@
     private volatile KeyRing keys = KeyRing.empty();
     private final Set<ObjectKind> receivedKinds = EnumSet.noneOf(ObjectKind.class);
     private volatile boolean complete;
+    private volatile Relay relay = Relay.NONE;
+
+    /** Receives what this cache learns from the store, to pass it on; called under the lock of the cache. */
+    public interface Relay {
+        /** A relay that passes nothing on. */
+        Relay NONE = new Relay() {
+            @Override
+            public void changed(ObjectKind kind, long fromVersion, Changes changes) {}
+
+            @Override
+            public void reachable(boolean reachable) {}
+        };
+
+        /** Passes on changes from the store; {@code fromVersion} is the version of the last change before them. */
+        void changed(ObjectKind kind, long fromVersion, Changes changes);
+
+        /** Passes on whether the store is reachable, when that changes. */
+        void reachable(boolean reachable);
+    }
 
     private StoreCache(Map<String, String> domains, TimeSource time, EventLog log) {
         this.domains = domains;
@@ -64,6 +83,11 @@
         return new StoreCache(domains, time, log);
     }
 
+    /** Sets the relay that passes on what is learnt from the store. */
+    public void relay(Relay next) {
+        relay = next;
+    }
+
     /** Adds a listener that runs after each change. */
     public void onChange(Runnable listener) {
         listeners.add(listener);
@@ -133,6 +157,44 @@
         apply(kind, listing);
     }
 
+    /**
+     * Applies changes that another host received from the store; returns false and changes nothing if this cache lacks
+     * changes before them.
+     *
+     * @param fromVersion version of the last change before these
+     */
+    public synchronized boolean receiveChanges(ObjectKind kind, long fromVersion, Changes changes) {
+        ObjectCache cached = held.get(kind);
+        if (cached.asOf() == 0 || cached.version() < fromVersion) {
+            return false;
+        }
+        applyChanges(kind, changes);
+        return true;
+    }
+
+    /** Records whether the hosts that watch the store for this one reach it. */
+    public synchronized void storeReachable(boolean reachable) {
+        targets.storeReachable(reachable);
+    }
+
+    /** Records that this host no longer watches the store, so that its own lost calls mean nothing. */
+    public synchronized void watchingEnded() {
+        unavailable.replaceAll((kind, lost) -> false);
+    }
+
+    private void applyChanges(ObjectKind kind, Changes changes) {
+        Changes newer = held.get(kind).apply(changes);
+        switch (kind) {
+            case CONFIGURATION -> newer.changed().forEach(this::applyConfiguration);
+            case TARGETS -> {
+                newer.changed().forEach(entry -> decode(entry).ifPresent(targets::register));
+                newer.deleted().forEach(name -> targets.unregister(TargetEntry.nameOf(name)));
+            }
+            default -> applyEvacuations(held.get(kind).listing());
+        }
+        notifyListeners();
+    }
+
     private void apply(ObjectKind kind, Listing listing) {
         switch (kind) {
             case CONFIGURATION -> listing.objects().forEach(this::applyConfiguration);
@@ -250,8 +312,13 @@
         @Override
         public void listed(Listing listing) {
             synchronized (StoreCache.this) {
+                Listing before = held.get(kind).listing();
+                long fromVersion = held.get(kind).version();
                 if (held.get(kind).replace(listing)) {
                     apply(kind, listing);
+                    if (before.asOf() > 0) {
+                        relay.changed(kind, fromVersion, Changes.between(before, listing));
+                    }
                 }
             }
         }
@@ -259,19 +326,17 @@
         @Override
         public void changed(Changes changes) {
             synchronized (StoreCache.this) {
-                Changes newer = held.get(kind).apply(changes);
-                switch (kind) {
-                    case CONFIGURATION -> newer.changed().forEach(StoreCache.this::applyConfiguration);
-                    case TARGETS -> {
-                        newer.changed().forEach(entry -> decode(entry).ifPresent(targets::register));
-                        newer.deleted().forEach(name -> targets.unregister(TargetEntry.nameOf(name)));
-                    }
-                    default -> applyEvacuations(held.get(kind).listing());
-                }
-                notifyListeners();
+                long fromVersion = held.get(kind).version();
+                applyChanges(kind, changes);
+                relay.changed(kind, fromVersion, changes);
             }
         }
 
+        @Override
+        public long asOf() {
+            return held.get(kind).asOf();
+        }
+
         @Override
         public void failed(Fault fault) {
             synchronized (StoreCache.this) {
@@ -281,6 +346,7 @@
                 unavailableSinceNanos = time.nanos();
                 if (kind == ObjectKind.TARGETS) {
                     targets.storeReachable(false);
+                    relay.reachable(false);
                 }
             }
             log.line(LineKind.DEPENDENCY)
@@ -297,6 +363,7 @@
                 unavailable.put(kind, false);
                 if (kind == ObjectKind.TARGETS) {
                     targets.storeReachable(true);
+                    relay.reachable(true);
                 }
             }
             log.line(LineKind.DEPENDENCY)
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreRelay.java
@@ -0,0 +1,113 @@
+package org.knapweedhatch.store;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.message.PeerMessage;
+import org.knapweedhatch.platform.Changes;
+import org.knapweedhatch.platform.StoredObject;
+
+/**
+ * Passes changes of the store from the watching hosts of a failure domain to its other hosts. A host that misses some
+ * fetches all objects of the kind from the sender.
+ *
+ * <p>Thread-safe.
+ */
+public final class StoreRelay implements StoreCache.Relay {
+
+    /** Interval at which a host that lost the store repeats so. */
+    private static final Duration STATUS_INTERVAL = Duration.ofSeconds(1);
+
+    /** Time after which a host that lost the store and said no more counts as one that has it. */
+    private static final Duration STATUS_TTL = Duration.ofMillis(2_500);
+
+    /** Largest total of bodies that is sent in one message; other hosts fetch what is larger. */
+    private static final int MAX_BYTES = 900_000;
+
+    private final StoreCache cache;
+    private final WatchRole role;
+    private final PeerFetcher fetcher;
+    private final BiConsumer<Collection<String>, PeerMessage> send;
+    private final TimeSource time;
+    private final Map<String, Long> lostNanos = new ConcurrentHashMap<>();
+    private boolean wasWatching = true;
+    private long statusSentNanos;
+
+    /** Creates the relay of a cache; {@code send} sends a message to some hosts and must not block. */
+    public StoreRelay(
+            StoreCache cache,
+            WatchRole role,
+            PeerFetcher fetcher,
+            BiConsumer<Collection<String>, PeerMessage> send,
+            TimeSource time) {
+        this.cache = cache;
+        this.role = role;
+        this.fetcher = fetcher;
+        this.send = send;
+        this.time = time;
+    }
+
+    @Override
+    public void changed(ObjectKind kind, long fromVersion, Changes changes) {
+        int bytes = changes.changed().stream()
+                .map(StoredObject::body)
+                .mapToInt(body -> body.length)
+                .sum();
+        if (!changes.isEmpty() && bytes <= MAX_BYTES) {
+            send.accept(role.followers(), new StoreChanges(kind, fromVersion, changes));
+        }
+    }
+
+    @Override
+    public void reachable(boolean reachable) {
+        send.accept(role.followers(), new StoreStatus(reachable));
+    }
+
+    /** Handles a message of another host; messages of other types are ignored. */
+    public void receive(String from, PeerMessage message) {
+        if (message instanceof StoreChanges news) {
+            boolean applied = cache.receiveChanges(news.kind(), news.fromVersion(), news.changes());
+            if (!applied) {
+                fetcher.fetch(news.kind(), from, news.changes().asOf());
+            }
+        } else if (message instanceof StoreStatus status) {
+            if (status.reachable()) {
+                lostNanos.remove(from);
+            } else {
+                lostNanos.put(from, time.nanos());
+            }
+            updateReachability();
+        }
+    }
+
+    /** Repeats the state of the store, or forgets what others said of it; to be called several times a second. */
+    public void tick() {
+        long now = time.nanos();
+        lostNanos.values().removeIf(lost -> now - lost > STATUS_TTL.toNanos());
+        boolean watching = role.watches();
+        if (watching) {
+            boolean lost = cache.isUnavailable(ObjectKind.TARGETS);
+            if (lost && now - statusSentNanos >= STATUS_INTERVAL.toNanos()) {
+                statusSentNanos = now;
+                reachable(false);
+            }
+        } else {
+            if (wasWatching) {
+                cache.watchingEnded();
+            }
+            updateReachability();
+        }
+        wasWatching = watching;
+    }
+
+    /** The store counts as lost while every watching host of the domain says so. */
+    private void updateReachability() {
+        if (!role.watches()) {
+            Collection<String> watchers = role.watchers();
+            cache.storeReachable(watchers.isEmpty() || !lostNanos.keySet().containsAll(watchers));
+        }
+    }
+}
--- a/daemon/src/main/java/org/knapweedhatch/store/StoreWatcher.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreWatcher.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.fault.Fault;
@@ -30,11 +31,15 @@
     /** Longest delay after failed calls; entries that return after an outage must be received within 2 s. */
     private static final Duration MAX_BACKOFF = Duration.ofSeconds(1);
 
+    /** Pause of a watcher that is not active before it looks again whether it is. */
+    private static final Duration INACTIVE_PAUSE = Duration.ofMillis(100);
+
     private static final Waiter WAITER = Waiter.blocking();
 
     private final ObjectApi api;
     private final String prefix;
     private final Listener listener;
+    private final BooleanSupplier active;
     private final DoubleSupplier batchDelayFactor;
     private volatile boolean stopped;
     private boolean listed;
@@ -55,22 +60,29 @@
 
         /** Called when a call succeeds after a failed one, before its results are passed on. */
         void recovered();
+
+        /** Returns the version of the store up to which all changes are known, from any source; 0 if none. */
+        long asOf();
     }
 
-    private StoreWatcher(ObjectApi api, String prefix, Listener listener, DoubleSupplier batchDelayFactor) {
+    private StoreWatcher(
+            ObjectApi api, String prefix, Listener listener, BooleanSupplier active, DoubleSupplier batchDelayFactor) {
         this.api = api;
         this.prefix = prefix;
         this.listener = listener;
+        this.active = active;
         this.batchDelayFactor = batchDelayFactor;
     }
 
     /**
      * Starts watching the objects under a prefix on a daemon thread.
      *
+     * @param active whether to watch; while it is false, objects are only listed, and only if none are known
      * @param batchDelayFactor factor of the pause after a change; at least 1, more in a large fleet
      */
-    public static StoreWatcher start(ObjectApi api, String prefix, Listener listener, DoubleSupplier batchDelayFactor) {
-        StoreWatcher watcher = new StoreWatcher(api, prefix, listener, batchDelayFactor);
+    public static StoreWatcher start(
+            ObjectApi api, String prefix, Listener listener, BooleanSupplier active, DoubleSupplier batchDelayFactor) {
+        StoreWatcher watcher = new StoreWatcher(api, prefix, listener, active, batchDelayFactor);
         Thread thread = new Thread(watcher, "feed-" + prefix);
         thread.setDaemon(true);
         thread.start();
@@ -85,10 +97,13 @@
     @Override
     public void run() {
         while (!stopped && !Thread.currentThread().isInterrupted()) {
-            if (listed) {
+            boolean watches = active.getAsBoolean();
+            if (!listed && (watches || listener.asOf() == 0)) {
+                list();
+            } else if (watches) {
                 watch();
             } else {
-                list();
+                WAITER.pause(INACTIVE_PAUSE);
             }
         }
     }
@@ -106,6 +121,7 @@
     }
 
     private void watch() {
+        asOf = Math.max(asOf, listener.asOf());
         Result<Changes> changes = api.changes(prefix, asOf, WATCH_TIMEOUT);
         if (!changes.isOk()) {
             boolean expired = PlatformError.EXPIRED.matches(changes.fault());
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedhatch/store/WatchRole.java
@@ -0,0 +1,68 @@
+package org.knapweedhatch.store;
+
+import java.time.Duration;
+import java.util.List;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.helper.Validate;
+import org.knapweedhatch.member.Member;
+import org.knapweedhatch.member.MembershipView;
+import org.knapweedhatch.release.WatcherSelection;
+
+/**
+ * Whether this host watches the store itself, or hears of changes from the watching hosts of its failure domain, so
+ * that the calls to the store grow with the number of domains and not with the number of hosts.
+ *
+ * <p>Thread-safe.
+ */
+public final class WatchRole {
+
+    /** Time after a start within which other hosts are usually found; a host alone does not watch before. */
+    private static final Duration DISCOVERY_TIME = Duration.ofMillis(500);
+
+    private final String domain;
+    private final TimeSource time;
+    private final long startNanos;
+    private volatile List<String> watchers = List.of();
+    private volatile List<String> followers = List.of();
+    private volatile boolean selected;
+    private volatile boolean alone = true;
+
+    private WatchRole(String domain, TimeSource time) {
+        this.domain = domain;
+        this.time = time;
+        startNanos = time.nanos();
+    }
+
+    /** Creates the role of a host in a failure domain, which knows no other hosts yet. */
+    public static WatchRole of(String domain, TimeSource time) {
+        return new WatchRole(Validate.notEmpty(domain, "domain"), Validate.notNull(time, "time"));
+    }
+
+    /** Updates the role from the current membership. */
+    public void update(MembershipView view) {
+        List<String> chosen = WatcherSelection.of(view, domain);
+        followers = view.members().values().stream()
+                .filter(member -> member.host().domain().equals(domain))
+                .map(Member::name)
+                .filter(name -> !chosen.contains(name) && !name.equals(view.self()))
+                .toList();
+        watchers = chosen;
+        selected = chosen.isEmpty() || chosen.contains(view.self());
+        alone = view.members().size() < 2;
+    }
+
+    /** Returns whether this host watches the store. */
+    public boolean watches() {
+        return alone ? time.since(startNanos).compareTo(DISCOVERY_TIME) >= 0 : selected;
+    }
+
+    /** Returns the hosts of the failure domain that watch the store. */
+    public List<String> watchers() {
+        return watchers;
+    }
+
+    /** Returns the hosts that this host tells of changes; empty if it does not watch the store. */
+    public List<String> followers() {
+        return watches() ? followers : List.of();
+    }
+}
--- a/daemon/src/test/java/org/knapweedhatch/store/PeerFetcherTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/PeerFetcherTest.java
@@ -35,7 +35,7 @@
     private final HostReports reports = HostReports.of(time);
     private final List<String> fetched = new ArrayList<>();
     private Result<byte[]> failure;
-    private final PeerFetcher fetcher = new PeerFetcher(own, reports, this::fetch, time, log);
+    private final PeerFetcher fetcher = new PeerFetcher(own, reports, () -> true, this::fetch, time, log);
     private long reported;
 
     @BeforeEach
--- a/daemon/src/test/java/org/knapweedhatch/store/StoreWatcherTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/StoreWatcherTest.java
@@ -25,11 +25,13 @@
 
     private final MemoryPlatform store = MemoryPlatform.create();
     private final RecordingListener recorder = new RecordingListener();
-    private final StoreWatcher watcher = StoreWatcher.start(store, PREFIX, recorder, () -> 1);
+    private volatile boolean active = true;
+    private final StoreWatcher watcher = StoreWatcher.start(store, PREFIX, recorder, () -> active, () -> 1);
 
     /** Records the names of the objects, and the events in order. */
     private static final class RecordingListener implements StoreWatcher.Listener {
         private final Set<String> names = new TreeSet<>();
+        private volatile long known;
         private final LinkedBlockingQueue<String> events = new LinkedBlockingQueue<>();
 
         @Override
@@ -56,6 +58,11 @@
             events.add("regained");
         }
 
+        @Override
+        public long asOf() {
+            return known;
+        }
+
         /** Waits for an event and skips those before it. */
         void await(String event) throws InterruptedException {
             String next = events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -113,4 +120,20 @@
             assertTrue(last != null && !last.equals("failed"), "last event: " + last);
         }
     }
+
+    @Test
+    void watcherThatIsNotActiveCallsNothingAndContinuesFromWhatOthersTold() throws InterruptedException {
+        recorder.await("listed []");
+        active = false;
+        create("a");
+        // Ends the watch that was in progress.
+        recorder.await("changed [things/a]");
+        create("b");
+        StoredObject toldByOthers = create("c");
+        assertEquals(null, recorder.events.poll(500, TimeUnit.MILLISECONDS));
+        recorder.known = toldByOthers.version();
+        active = true;
+        create("d");
+        recorder.await("changed [things/a, things/d]");
+    }
 }
