Exchange the reports of a large fleet by way of a collector in each failure domain

Cause: every host reports to every other, 94 messages a second sent and 94 taken in at 95 hosts, each with its own calls of the system; each holds up to 90 teams.

Change: above 16 hosts each host reports to the collector of its failure domain twice a second; collectors exchange them and send all to their domain in one message. A host that hears nothing from its collector for three intervals reports to all. Holders of limits report to each other once a twentieth of a bucket is spent.

--- a/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
@@ -101,6 +101,12 @@
     /** Fraction of the advance that is left to hosts which do not hold the team, for when they reach no holder. */
     private static final double NON_HOLDER_FRACTION = 0.3;
 
+    /**
+     * Fraction of a bucket that this host may spend before it reports to the other hosts that admit requests of the
+     * team. Until then its part is covered by the slack that the terms leave.
+     */
+    private static final double UNREPORTED_FRACTION = 0.05;
+
     /** Time between two updates of a team that this host neither holds nor sees requests of. */
     private static final Duration IDLE_REFRESH = Duration.ofSeconds(1);
 
@@ -119,6 +125,8 @@
         private final DemandMeter demand = DemandMeter.of(time, DEMAND_WINDOW);
         private RateLimit contract;
         private long spent;
+        /** Value of {@link #spent} when the other hosts that admit requests of the team were last told of it. */
+        private long reportedSpent;
         /** Values of {@link #spent} and of the other hosts' reports that are already taken off {@link #fleetTokens}. */
         private long accountedSpent;
 
@@ -309,13 +317,16 @@
     }
 
     /**
-     * Returns the hosts that need this host's reports at the shortest interval, since they admit requests of the same
-     * teams; empty if every host admits for itself and all reports go to all hosts.
+     * Returns the hosts that need a report of this host now, since they admit requests of teams of which it spent a
+     * noticeable number of requests after the last call that returned them; empty if every host admits for itself and
+     * all reports go to all hosts.
      */
     public synchronized Set<String> otherAdmitters() {
         Set<String> hosts = new HashSet<>();
         for (TeamBucket bucket : buckets.values()) {
-            if (bucket.demand.perSecond() > MIN_REPORTED_DEMAND && holders.get().isCandidate(bucket.teamName)) {
+            boolean noticeable = bucket.spent - bucket.reportedSpent >= UNREPORTED_FRACTION * bucket.capacity();
+            if (noticeable && holders.get().isCandidate(bucket.teamName)) {
+                bucket.reportedSpent = bucket.spent;
                 hosts.addAll(holders.get().holdersElsewhere(bucket.teamName));
                 hosts.addAll(reports.hostsWith(HostReport::teamDemand, bucket.teamHash));
             }
--- /dev/null
+++ b/core/src/main/java/org/knapweedhatch/report/ReportExchange.java
@@ -0,0 +1,225 @@
+package org.knapweedhatch.report;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.helper.Validate;
+import org.knapweedhatch.member.Member;
+import org.knapweedhatch.member.MemberState;
+import org.knapweedhatch.member.MembershipView;
+import org.knapweedhatch.message.PeerMessage;
+
+/**
+ * Decides which hosts get the reports of this host, and passes on the reports of others.
+ *
+ * <p>In a small fleet every host reports to every other. In a larger one each host reports to the collector of its
+ * failure domain; collectors exchange the reports of their domains, and each sends all reports in one message to the
+ * hosts of its domain. So the messages of a host grow with the number of domains at most. A host that hears nothing
+ * from its collector reports to every other host.
+ *
+ * <p>Thread-safe.
+ */
+public final class ReportExchange {
+
+    /** Largest fleet in which every host reports to every other. */
+    private static final int MAX_DIRECT_HOSTS = 16;
+
+    /** Shortest interval at which reports are collected; each takes up to three intervals to reach all hosts. */
+    private static final Duration COLLECT_INTERVAL = Duration.ofMillis(500);
+
+    /** Reports a second that a host takes in: under 1 % of a core at about 0.04 ms each. */
+    private static final int MAX_COLLECTED_PER_SECOND = 200;
+
+    private static final Duration MAX_COLLECT_INTERVAL = Duration.ofMillis(1_500);
+
+    /** Intervals without a message of the collector after which a host reports to all others. */
+    private static final int SILENT_INTERVALS = 3;
+
+    /** Part of an interval by which the calls of {@link #tick} may come early. */
+    private static final Duration TOLERANCE = Duration.ofMillis(50);
+
+    private final String self;
+    private final TimeSource time;
+    private final HostReports reports;
+    private final LongSupplier incarnation;
+    private final Sender sender;
+    private final Map<String, ReportBundle.Item> ownDomain = new LinkedHashMap<>();
+    private final Map<String, ReportBundle.Item> otherDomains = new LinkedHashMap<>();
+    private MembershipView view;
+    private List<String> others = List.of();
+    private List<String> mates = List.of();
+    private Map<String, String> collectors = Map.of();
+    private String domain = "";
+    private int knownHosts = 1;
+    private long sentNanos;
+    private long sentToAllNanos;
+    private long heardCollectorNanos;
+
+    /** Sends a message to some hosts; must not block. */
+    @FunctionalInterface
+    public interface Sender {
+        /** Sends a message to some hosts. */
+        void send(Collection<String> hosts, PeerMessage message);
+    }
+
+    private ReportExchange(String self, HostReports reports, LongSupplier incarnation, Sender sender, TimeSource time) {
+        this.self = self;
+        this.reports = reports;
+        this.incarnation = incarnation;
+        this.sender = sender;
+        this.time = time;
+        view = MembershipView.of(self, List.of());
+        heardCollectorNanos = time.nanos();
+    }
+
+    /**
+     * Creates the exchange of a host that knows no others yet.
+     *
+     * @param reports where reports of other hosts are stored
+     * @param incarnation returns the incarnation of this process
+     */
+    public static ReportExchange of(
+            String self, HostReports reports, LongSupplier incarnation, Sender sender, TimeSource time) {
+        return new ReportExchange(
+                Validate.notEmpty(self, "self"),
+                Validate.notNull(reports, "reports"),
+                Validate.notNull(incarnation, "incarnation"),
+                Validate.notNull(sender, "sender"),
+                Validate.notNull(time, "time"));
+    }
+
+    /**
+     * Updates the receivers from the current membership.
+     *
+     * @param known number of hosts that may be serving, heard or not
+     */
+    public synchronized void update(MembershipView next, int known) {
+        view = next;
+        knownHosts = Math.max(known, next.members().size());
+        domain = next.member(self).map(member -> member.host().domain()).orElse("");
+        others = names(next, member -> true);
+        mates = names(next, member -> member.host().domain().equals(domain));
+        Map<String, String> chosen = new TreeMap<>();
+        next.members().values().stream()
+                .filter(member -> member.state() == MemberState.ALIVE)
+                .forEach(member ->
+                        chosen.merge(member.host().domain(), member.name(), (a, b) -> a.compareTo(b) < 0 ? a : b));
+        collectors = chosen;
+    }
+
+    private List<String> names(MembershipView next, Predicate<Member> condition) {
+        return next.members().values().stream()
+                .filter(member -> !member.name().equals(self))
+                .filter(member -> member.state() == MemberState.ALIVE || member.state() == MemberState.LEAVING)
+                .filter(condition)
+                .map(Member::name)
+                .toList();
+    }
+
+    /** Sends what is due; {@code report} creates the current report of this host, at most once. */
+    public synchronized void tick(Supplier<HostReport> report) {
+        if (knownHosts <= MAX_DIRECT_HOSTS) {
+            if (due(sentToAllNanos, ReportPacing.interval(knownHosts))) {
+                sendToAll(report.get());
+            }
+        } else if (due(sentNanos, collectInterval())) {
+            sentNanos = time.nanos();
+            if (isCollector()) {
+                passOn(report.get());
+            } else {
+                HostReport own = report.get();
+                sender.send(collectorOf(domain), own);
+                boolean silent = time.nanos() - heardCollectorNanos
+                        > collectInterval().multipliedBy(SILENT_INTERVALS).toNanos();
+                if (silent && due(sentToAllNanos, ReportPacing.interval(knownHosts))) {
+                    sendToAll(own);
+                }
+            }
+        }
+    }
+
+    private boolean due(long lastNanos, Duration interval) {
+        return time.since(lastNanos).plus(TOLERANCE).compareTo(interval) >= 0;
+    }
+
+    private Duration collectInterval() {
+        Duration paced = Duration.ofSeconds(knownHosts).dividedBy(MAX_COLLECTED_PER_SECOND);
+        Duration atLeast = paced.compareTo(COLLECT_INTERVAL) < 0 ? COLLECT_INTERVAL : paced;
+        return atLeast.compareTo(MAX_COLLECT_INTERVAL) > 0 ? MAX_COLLECT_INTERVAL : atLeast;
+    }
+
+    private void sendToAll(HostReport report) {
+        sentToAllNanos = time.nanos();
+        if (!others.isEmpty()) {
+            sender.send(others, report);
+        }
+    }
+
+    private boolean isCollector() {
+        return self.equals(collectors.get(domain));
+    }
+
+    private List<String> collectorOf(String which) {
+        String collector = collectors.get(which);
+        return collector == null ? List.of() : List.of(collector);
+    }
+
+    /** Sends the reports of this domain to the other collectors, and all reports to the hosts of this domain. */
+    private void passOn(HostReport own) {
+        ownDomain.put(self, new ReportBundle.Item(self, incarnation.getAsLong(), own));
+        List<String> otherCollectors =
+                collectors.values().stream().filter(host -> !host.equals(self)).toList();
+        List<ReportBundle.Item> ofDomain = List.copyOf(ownDomain.values());
+        if (!otherCollectors.isEmpty()) {
+            sender.send(otherCollectors, new ReportBundle(ofDomain));
+        }
+        if (!mates.isEmpty()) {
+            List<ReportBundle.Item> all = new ArrayList<>(ofDomain);
+            all.addAll(otherDomains.values());
+            sender.send(mates, new ReportBundle(all));
+        }
+        ownDomain.clear();
+        otherDomains.clear();
+    }
+
+    /** Handles a report or a bundle of reports from another host; messages of other types are ignored. */
+    public synchronized void receive(String from, long senderIncarnation, PeerMessage message) {
+        if (message instanceof HostReport report) {
+            store(from, senderIncarnation, report);
+            if (isCollector() && domainOf(from).equals(domain)) {
+                ownDomain.put(from, new ReportBundle.Item(from, senderIncarnation, report));
+            }
+        } else if (message instanceof ReportBundle bundle) {
+            boolean fromOwnDomain = domainOf(from).equals(domain);
+            if (fromOwnDomain) {
+                heardCollectorNanos = time.nanos();
+            }
+            Consumer<ReportBundle.Item> passOn =
+                    isCollector() && !fromOwnDomain ? item -> otherDomains.put(item.host(), item) : item -> {};
+            for (ReportBundle.Item item : bundle.items()) {
+                if (!item.host().equals(self)) {
+                    store(item.host(), item.incarnation(), item.report());
+                    passOn.accept(item);
+                }
+            }
+        }
+    }
+
+    private void store(String host, long hostIncarnation, HostReport report) {
+        String region = view.member(host).map(member -> member.host().region()).orElse("");
+        reports.receive(host, region, hostIncarnation, report);
+    }
+
+    private String domainOf(String host) {
+        return view.member(host).map(member -> member.host().domain()).orElse("");
+    }
+}
--- a/core/src/test/java/org/knapweedhatch/quota/FleetAdmissionSimulation.java
+++ b/core/src/test/java/org/knapweedhatch/quota/FleetAdmissionSimulation.java
@@ -38,6 +38,13 @@
     private static final Duration STEP = Duration.ofMillis(10);
     private static final int TICK_STEPS = 10;
     private static final int FAST_REPORT_STEPS = 20;
+    /** Fleet size above which reports pass by collectors. */
+    private static final int MAX_DIRECT_HOSTS = 16;
+
+    private static final Duration COLLECTION_INTERVAL = Duration.ofMillis(500);
+    /** Additional delay of the reports that pass by two collectors in a large fleet. */
+    private static final Duration COLLECTION_DELAY = Duration.ofMillis(500);
+
     private static final Duration DETECTION = Duration.ofSeconds(2);
     private static final int REGIONS = 3;
     private static final int DOMAINS = 9;
@@ -131,14 +138,19 @@
         }
 
         void send(OutgoingMessage message) {
-            post(number, Integer.parseInt(message.toHost().substring(1)), incarnation, message.message());
+            post(
+                    number,
+                    Integer.parseInt(message.toHost().substring(1)),
+                    incarnation,
+                    message.message(),
+                    Duration.ZERO);
         }
 
-        void report(List<Integer> receivers) {
+        void report(List<Integer> receivers, Duration collection) {
             Map<Integer, Double> demand = shares.demandByTeam();
             HostReport report = new HostReport(
                     ++sequence, Map.of(), demand, shares.spentByTeam(demand.keySet()), Map.of(), List.of());
-            receivers.forEach(other -> post(number, other, incarnation, report));
+            receivers.forEach(other -> post(number, other, incarnation, report, collection));
         }
     }
 
@@ -155,6 +167,7 @@
     private final long[] downNanos;
     private final Set<Integer> cut = new HashSet<>();
     private final int reportSteps;
+    private final Duration collectionDelay;
     private final PriorityQueue<Delivery> inFlight =
             new PriorityQueue<>((a, b) -> Long.compare(a.dueNanos(), b.dueNanos()));
     private List<Team> teams;
@@ -169,7 +182,9 @@
             Address address = Address.parse("10.0.0.1:" + (1_000 + i));
             hosts.add(new Host(name(i), "r" + i % REGIONS, "d" + i % DOMAINS, address, address));
         }
-        reportSteps = (int) ReportPacing.interval(count).dividedBy(STEP);
+        boolean collected = count > MAX_DIRECT_HOSTS;
+        reportSteps = (int) (collected ? COLLECTION_INTERVAL : ReportPacing.interval(count)).dividedBy(STEP);
+        collectionDelay = collected ? COLLECTION_DELAY : Duration.ZERO;
         downNanos = new long[count];
         Arrays.fill(downNanos, Long.MAX_VALUE);
         nodes = new Node[count];
@@ -218,12 +233,14 @@
         return downNanos[host] != Long.MAX_VALUE;
     }
 
-    private void post(int from, int to, long incarnation, PeerMessage message) {
+    private void post(int from, int to, long incarnation, PeerMessage message, Duration held) {
         if (random.nextDouble() < lossRate) {
             return;
         }
         boolean near = from % REGIONS == to % REGIONS;
-        Duration delay = Duration.ofMillis((near ? 1 : 30) + random.nextInt(10)).plus(lag);
+        Duration delay = Duration.ofMillis((near ? 1 : 30) + random.nextInt(10))
+                .plus(lag)
+                .plus(held);
         inFlight.add(new Delivery(time.nanos() + delay.toNanos(), from, to, incarnation, message));
     }
 
@@ -288,14 +305,18 @@
             node.admission.tick();
         }
         if (steps % reportSteps == node.number % reportSteps) {
-            node.report(IntStream.range(0, nodes.length)
-                    .filter(other -> other != node.number)
-                    .boxed()
-                    .toList());
+            node.report(
+                    IntStream.range(0, nodes.length)
+                            .filter(other -> other != node.number)
+                            .boxed()
+                            .toList(),
+                    collectionDelay);
         } else if (steps % FAST_REPORT_STEPS == node.number % FAST_REPORT_STEPS) {
-            node.report(node.shares.otherAdmitters().stream()
-                    .map(host -> Integer.parseInt(host.substring(1)))
-                    .toList());
+            node.report(
+                    node.shares.otherAdmitters().stream()
+                            .map(host -> Integer.parseInt(host.substring(1)))
+                            .toList(),
+                    Duration.ZERO);
         }
     }
 
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import org.knapweedhatch.admin.Admin;
@@ -23,7 +24,6 @@
 import org.knapweedhatch.key.KeyRing;
 import org.knapweedhatch.log.EventLog;
 import org.knapweedhatch.log.LineKind;
-import org.knapweedhatch.member.Member;
 import org.knapweedhatch.member.MemberState;
 import org.knapweedhatch.member.Membership;
 import org.knapweedhatch.member.MembershipView;
@@ -43,6 +43,7 @@
 import org.knapweedhatch.quota.TeamShares;
 import org.knapweedhatch.report.HostReport;
 import org.knapweedhatch.report.HostReports;
+import org.knapweedhatch.report.ReportExchange;
 import org.knapweedhatch.report.ReportPacing;
 import org.knapweedhatch.settings.FrontSettings;
 import org.knapweedhatch.steer.HostDirectory;
@@ -91,6 +92,7 @@
     private final HostReports reports;
     private final TeamShares shares;
     private final TeamAdmission admission;
+    private final ReportExchange exchange;
     private final ServiceRetryBudget retries;
     private final PeerFetcher news;
     private final WatchRole watchRole;
@@ -112,7 +114,6 @@
     private volatile TeamHolders holders = TeamHolders.everyHost();
     private volatile boolean listening;
     private volatile int aliveOthers;
-    private long reportedNanos;
     private long reportedToAdmittersNanos;
     private long reportsSent;
 
@@ -135,6 +136,7 @@
                 this::holders,
                 () -> ThreadLocalRandom.current().nextDouble());
         admission = TeamAdmission.of(self.name(), shares, this::holders, this::send, time);
+        exchange = ReportExchange.of(self.name(), reports, this::incarnation, this::send, time);
         retries = ServiceRetryBudget.of(this::terms, this::fleet);
         placer = Placer.of(this);
         beliefs.onChange(this::believed);
@@ -225,7 +227,11 @@
         watch.seen(next);
         watchRole.update(next);
         directory = HostDirectory.of(next);
-        aliveOthers = otherHosts().size();
+        aliveOthers = (int) next.members().values().stream()
+                        .filter(member -> member.state() == MemberState.ALIVE || member.state() == MemberState.LEAVING)
+                        .count()
+                - 1;
+        exchange.update(next, hosts.count());
         holders = TeamHolders.of(next, hosts.count(), holders);
     }
 
@@ -247,18 +253,15 @@
         placer.tick();
         news.tick();
         relay.tick();
+        exchange.tick(this::ownReport);
         // Ticks come a little early or late, so half of one does not matter.
-        Duration sinceReport = time.since(reportedNanos).plus(Membership.TICK.dividedBy(2));
-        if (sinceReport.compareTo(ReportPacing.interval(hosts.count())) >= 0) {
-            reportedNanos = time.nanos();
-            reportedToAdmittersNanos = reportedNanos;
-            report(otherHosts());
-        } else if (time.since(reportedToAdmittersNanos)
-                        .plus(Membership.TICK.dividedBy(2))
-                        .compareTo(ReportPacing.MIN_INTERVAL)
-                >= 0) {
+        Duration sinceReport = time.since(reportedToAdmittersNanos).plus(Membership.TICK.dividedBy(2));
+        if (sinceReport.compareTo(ReportPacing.MIN_INTERVAL) >= 0) {
             reportedToAdmittersNanos = time.nanos();
-            report(shares.otherAdmitters());
+            Set<String> admitters = shares.otherAdmitters();
+            if (!admitters.isEmpty()) {
+                peers.send(admitters, ownReport());
+            }
         }
     }
 
@@ -284,44 +287,32 @@
         }
     }
 
-    private void report(Collection<String> receivers) {
-        if (receivers.isEmpty()) {
-            return;
-        }
+    private HostReport ownReport() {
         Map<Integer, Double> teamDemand = shares.demandByTeam();
-        HostReport report = new HostReport(
+        return new HostReport(
                 ++reportsSent,
                 placer.inFlightByTarget(),
                 teamDemand,
                 shares.spentByTeam(teamDemand.keySet()),
                 placer.demandByService(),
                 beliefs.versions());
-        peers.send(receivers, report);
     }
 
-    private List<String> otherHosts() {
-        MembershipView now = view;
-        if (now == null) {
-            return List.of();
-        }
-        return now.members().values().stream()
-                .filter(member -> !member.name().equals(settings.host().name()))
-                .filter(member -> member.state() == MemberState.ALIVE || member.state() == MemberState.LEAVING)
-                .map(Member::name)
-                .toList();
+    private long incarnation() {
+        return peers.incarnation();
     }
 
     private void send(OutgoingMessage message) {
         peers.send(message);
     }
 
+    private void send(Collection<String> receivers, PeerMessage message) {
+        peers.send(receivers, message);
+    }
+
     private void receive(String from, long incarnation, PeerMessage message) {
-        MembershipView now = view;
-        if (message instanceof HostReport report && now != null) {
-            String region =
-                    now.member(from).map(member -> member.host().region()).orElse("");
-            reports.receive(from, region, incarnation, report);
-        } else if (started) {
+        if (started) {
+            exchange.receive(from, incarnation, message);
             admission.receive(from, message);
             relay.receive(from, message);
         }
--- a/daemon/src/main/java/org/knapweedhatch/peer/ReportCodec.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/ReportCodec.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import org.knapweedhatch.helper.Validate;
+import org.knapweedhatch.peer.proto.BundledReportRecord;
 import org.knapweedhatch.peer.proto.HostReportRecord;
 import org.knapweedhatch.peer.proto.RateExceededRecord;
+import org.knapweedhatch.peer.proto.ReportBundleRecord;
 import org.knapweedhatch.peer.proto.TokenReplyRecord;
 import org.knapweedhatch.peer.proto.TokenRequestRecord;
 import org.knapweedhatch.peer.proto.TokenReturnRecord;
@@ -17,6 +19,7 @@
 import org.knapweedhatch.quota.TokenRequest;
 import org.knapweedhatch.quota.TokenReturn;
 import org.knapweedhatch.report.HostReport;
+import org.knapweedhatch.report.ReportBundle;
 
 /** The messages about the load that hosts carry, and about the limits that they share. */
 public final class ReportCodec implements PeerCodec {
@@ -28,6 +31,11 @@
         return List.of(
                 new MessageKind<>(
                         70, HostReport.class, ReportCodec::report, body -> report(HostReportRecord.parseFrom(body))),
+                new MessageKind<>(
+                        74,
+                        ReportBundle.class,
+                        ReportCodec::bundle,
+                        body -> bundle(ReportBundleRecord.parseFrom(body))),
                 new MessageKind<>(
                         71,
                         TokenRequest.class,
@@ -51,6 +59,22 @@
                                 TokenReturnRecord.parseFrom(body).getTeam(), "team"))));
     }
 
+    private static ReportBundleRecord bundle(ReportBundle message) {
+        ReportBundleRecord.Builder record = ReportBundleRecord.newBuilder();
+        message.items()
+                .forEach(item -> record.addItems(BundledReportRecord.newBuilder()
+                        .setHost(item.host())
+                        .setIncarnation(item.incarnation())
+                        .setReport(report(item.report()))));
+        return record.build();
+    }
+
+    private static ReportBundle bundle(ReportBundleRecord record) {
+        return new ReportBundle(record.getItemsList().stream()
+                .map(item -> new ReportBundle.Item(item.getHost(), item.getIncarnation(), report(item.getReport())))
+                .toList());
+    }
+
     private static TokenRequest tokenRequest(TokenRequestRecord record) {
         return new TokenRequest(record.getId(), Validate.notEmpty(record.getTeam(), "team"));
     }
--- a/proto/src/main/java/org/knapweedhatch/peer/proto/Report.java
+++ b/proto/src/main/java/org/knapweedhatch/peer/proto/Report.java
@@ -31,6 +31,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_knapweedhatch_HostReportRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_knapweedhatch_ReportBundleRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_knapweedhatch_ReportBundleRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_knapweedhatch_BundledReportRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_knapweedhatch_BundledReportRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_knapweedhatch_TokenRequestRecord_descriptor;
   static final 
@@ -65,16 +75,20 @@
       "gets\030\002 \003(\007\022\014\n\004uses\030\003 \003(\r\022\r\n\005teams\030\004 \003(\007\022" +
       "\023\n\013team_demand\030\005 \003(\004\022\020\n\010services\030\006 \003(\007\022\026" +
       "\n\016service_demand\030\007 \003(\004\022\014\n\004held\030\010 \003(\004\022\022\n\n" +
-      "team_spent\030\t \003(\004\".\n\022TokenRequestRecord\022\n" +
-      "\n\002id\030\001 \001(\004\022\014\n\004team\030\002 \001(\t\"S\n\020TokenReplyRe" +
-      "cord\022\n\n\002id\030\001 \001(\004\0223\n\010exceeded\030\002 \001(\0132!.kna" +
-      "pweedhatch.RateExceededRecord\"\206\001\n\022RateEx" +
-      "ceededRecord\022\031\n\021retry_after_nanos\030\001 \001(\004\022" +
-      "\014\n\004rate\030\002 \001(\001\022\024\n\014fleet_tokens\030\003 \001(\001\022\023\n\013h" +
-      "ost_tokens\030\004 \001(\001\022\r\n\005hosts\030\005 \001(\r\022\r\n\005heard" +
-      "\030\006 \001(\r\"!\n\021TokenReturnRecord\022\014\n\004team\030\001 \001(" +
-      "\tB \n\034org.knapweedhatch.peer.protoP\001b\006pro" +
-      "to3"
+      "team_spent\030\t \003(\004\"G\n\022ReportBundleRecord\0221" +
+      "\n\005items\030\001 \003(\0132\".knapweedhatch.BundledRep" +
+      "ortRecord\"i\n\023BundledReportRecord\022\014\n\004host" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022/\n\006report\030\003 " +
+      "\001(\0132\037.knapweedhatch.HostReportRecord\".\n\022" +
+      "TokenRequestRecord\022\n\n\002id\030\001 \001(\004\022\014\n\004team\030\002" +
+      " \001(\t\"S\n\020TokenReplyRecord\022\n\n\002id\030\001 \001(\004\0223\n\010" +
+      "exceeded\030\002 \001(\0132!.knapweedhatch.RateExcee" +
+      "dedRecord\"\206\001\n\022RateExceededRecord\022\031\n\021retr" +
+      "y_after_nanos\030\001 \001(\004\022\014\n\004rate\030\002 \001(\001\022\024\n\014fle" +
+      "et_tokens\030\003 \001(\001\022\023\n\013host_tokens\030\004 \001(\001\022\r\n\005" +
+      "hosts\030\005 \001(\r\022\r\n\005heard\030\006 \001(\r\"!\n\021TokenRetur" +
+      "nRecord\022\014\n\004team\030\001 \001(\tB \n\034org.knapweedhat" +
+      "ch.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -86,26 +100,38 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_HostReportRecord_descriptor,
         new java.lang.String[] { "Sequence", "UsedTargets", "Uses", "Teams", "TeamDemand", "Services", "ServiceDemand", "Held", "TeamSpent", });
-    internal_static_knapweedhatch_TokenRequestRecord_descriptor =
+    internal_static_knapweedhatch_ReportBundleRecord_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_knapweedhatch_ReportBundleRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_knapweedhatch_ReportBundleRecord_descriptor,
+        new java.lang.String[] { "Items", });
+    internal_static_knapweedhatch_BundledReportRecord_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_knapweedhatch_BundledReportRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_knapweedhatch_BundledReportRecord_descriptor,
+        new java.lang.String[] { "Host", "Incarnation", "Report", });
+    internal_static_knapweedhatch_TokenRequestRecord_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_knapweedhatch_TokenRequestRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_TokenRequestRecord_descriptor,
         new java.lang.String[] { "Id", "Team", });
     internal_static_knapweedhatch_TokenReplyRecord_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(4);
     internal_static_knapweedhatch_TokenReplyRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_TokenReplyRecord_descriptor,
         new java.lang.String[] { "Id", "Exceeded", });
     internal_static_knapweedhatch_RateExceededRecord_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(5);
     internal_static_knapweedhatch_RateExceededRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_RateExceededRecord_descriptor,
         new java.lang.String[] { "RetryAfterNanos", "Rate", "FleetTokens", "HostTokens", "Hosts", "Heard", });
     internal_static_knapweedhatch_TokenReturnRecord_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(6);
     internal_static_knapweedhatch_TokenReturnRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_TokenReturnRecord_descriptor,
