Let the second watching host of a domain gather the changes of a second

Cause: both watching hosts of a failure domain make a call for each change of a target, though the first tells the second what it saw.

Change: the first watching host tells all hosts of its domain, the second too; the second pauses for 1 s after a change. Test: StoreRelayTest.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -75,6 +75,12 @@
     /** Idle connections are closed so long after the directory stopped naming this host. */
     private static final Duration GIVE_BACK = Duration.ofMillis(1_000);
 
+    /** Pause after a change of the store in a small fleet; longer in a large one, which has more of them. */
+    private static final Duration BATCH_DELAY = Duration.ofMillis(50);
+
+    /** The same on hosts that another host of their failure domain tells of changes. */
+    private static final Duration SECOND_WATCHER_DELAY = Duration.ofSeconds(1);
+
     private static final Duration POLL = Duration.ofMillis(50);
 
     /** Time there and back between failure domains of a region; 8 to 10 ms in the deployments seen. */
@@ -156,11 +162,7 @@
         HttpPlatform store = HttpPlatform.create(caller, URI.create("http://" + settings.platform()), "");
         feeds = Arrays.stream(ObjectKind.values())
                 .map(kind -> StoreWatcher.start(
-                        store,
-                        kind.prefix(),
-                        beliefs.listener(kind),
-                        watchRole::watches,
-                        () -> ReportPacing.intervalFactor(hosts.count())))
+                        store, kind.prefix(), beliefs.listener(kind), watchRole::watches, this::batchDelay))
                 .toList();
         registry = HostRegistry.start(store, self, peers, log);
         server = FrontServer.of(this);
@@ -184,6 +186,12 @@
         return host;
     }
 
+    private Duration batchDelay() {
+        return watchRole.isFirst()
+                ? Duration.ofNanos((long) (BATCH_DELAY.toNanos() * ReportPacing.intervalFactor(hosts.count())))
+                : SECOND_WATCHER_DELAY;
+    }
+
     private void registerGauges(HttpPlatform store) {
         metrics.gauge(
                 "configuration",
--- a/daemon/src/main/java/org/knapweedhatch/store/StoreRelay.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreRelay.java
@@ -57,13 +57,13 @@
                 .mapToInt(body -> body.length)
                 .sum();
         if (!changes.isEmpty() && bytes <= MAX_BYTES) {
-            send.accept(role.followers(), new StoreChanges(kind, fromVersion, changes));
+            send.accept(role.receivers(), new StoreChanges(kind, fromVersion, changes));
         }
     }
 
     @Override
     public void reachable(boolean reachable) {
-        send.accept(role.followers(), new StoreStatus(reachable));
+        send.accept(role.receivers(), new StoreStatus(reachable));
     }
 
     /** Handles a message of another host; messages of other types are ignored. */
--- a/daemon/src/main/java/org/knapweedhatch/store/StoreWatcher.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreWatcher.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
-import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.fault.Fault;
 import org.knapweedhatch.fault.Result;
@@ -22,9 +22,6 @@
     /** Longest wait of a watch call. A dead connection is noticed after this time plus the timeout of a call. */
     private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(5);
 
-    /** Pause after a change in a small fleet, so that one call returns changes that come together. */
-    private static final Duration BATCH_DELAY = Duration.ofMillis(50);
-
     /** Delay after the first failed call; doubles with each failure, with random jitter. */
     private static final Duration INITIAL_BACKOFF = Duration.ofMillis(100);
 
@@ -40,7 +37,7 @@
     private final String prefix;
     private final Listener listener;
     private final BooleanSupplier active;
-    private final DoubleSupplier batchDelayFactor;
+    private final Supplier<Duration> batchDelay;
     private volatile boolean stopped;
     private boolean listed;
     private long asOf;
@@ -66,23 +63,23 @@
     }
 
     private StoreWatcher(
-            ObjectApi api, String prefix, Listener listener, BooleanSupplier active, DoubleSupplier batchDelayFactor) {
+            ObjectApi api, String prefix, Listener listener, BooleanSupplier active, Supplier<Duration> batchDelay) {
         this.api = api;
         this.prefix = prefix;
         this.listener = listener;
         this.active = active;
-        this.batchDelayFactor = batchDelayFactor;
+        this.batchDelay = batchDelay;
     }
 
     /**
      * Starts watching the objects under a prefix on a daemon thread.
      *
      * @param active whether to watch; while it is false, objects are only listed, and only if none are known
-     * @param batchDelayFactor factor of the pause after a change; at least 1, more in a large fleet
+     * @param batchDelay pause after a change, so that one call returns changes that come together
      */
     public static StoreWatcher start(
-            ObjectApi api, String prefix, Listener listener, BooleanSupplier active, DoubleSupplier batchDelayFactor) {
-        StoreWatcher watcher = new StoreWatcher(api, prefix, listener, active, batchDelayFactor);
+            ObjectApi api, String prefix, Listener listener, BooleanSupplier active, Supplier<Duration> batchDelay) {
+        StoreWatcher watcher = new StoreWatcher(api, prefix, listener, active, batchDelay);
         Thread thread = new Thread(watcher, "feed-" + prefix);
         thread.setDaemon(true);
         thread.start();
@@ -135,7 +132,7 @@
         asOf = Math.max(asOf, changes.orThrow().asOf());
         if (!changes.orThrow().isEmpty()) {
             listener.changed(changes.orThrow());
-            WAITER.pause(Duration.ofNanos((long) (BATCH_DELAY.toNanos() * batchDelayFactor.getAsDouble())));
+            WAITER.pause(batchDelay.get());
         }
     }
 
--- a/daemon/src/main/java/org/knapweedhatch/store/WatchRole.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/WatchRole.java
@@ -23,8 +23,9 @@
     private final TimeSource time;
     private final long startNanos;
     private volatile List<String> watchers = List.of();
-    private volatile List<String> followers = List.of();
+    private volatile List<String> mates = List.of();
     private volatile boolean selected;
+    private volatile boolean first = true;
     private volatile boolean alone = true;
 
     private WatchRole(String domain, TimeSource time) {
@@ -41,11 +42,12 @@
     /** Updates the role from the current membership. */
     public void update(MembershipView view) {
         List<String> chosen = WatcherSelection.of(view, domain);
-        followers = view.members().values().stream()
+        mates = view.members().values().stream()
                 .filter(member -> member.host().domain().equals(domain))
                 .map(Member::name)
-                .filter(name -> !chosen.contains(name) && !name.equals(view.self()))
+                .filter(name -> !name.equals(view.self()))
                 .toList();
+        first = chosen.isEmpty() || chosen.get(0).equals(view.self());
         watchers = chosen;
         selected = chosen.isEmpty() || chosen.contains(view.self());
         alone = view.members().size() < 2;
@@ -61,8 +63,16 @@
         return watchers;
     }
 
+    /**
+     * Returns whether this host is the one of its failure domain that watches without delay; the others are told by it
+     * and only watch in case it cannot.
+     */
+    public boolean isFirst() {
+        return first;
+    }
+
     /** Returns the hosts that this host tells of changes; empty if it does not watch the store. */
-    public List<String> followers() {
-        return watches() ? followers : List.of();
+    public List<String> receivers() {
+        return watches() ? mates : List.of();
     }
 }
--- a/daemon/src/test/java/org/knapweedhatch/store/StoreRelayTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/StoreRelayTest.java
@@ -168,6 +168,18 @@
         assertTrue(role.watches());
     }
 
+    @Test
+    void oneHostOfADomainWatchesWithoutDelayAndTellsTheOther() {
+        List<Node> watchers = watchers();
+        Node first = watchers.get(watchers.get(0).role.isFirst() ? 0 : 1);
+        Node second = watchers.get(first == watchers.get(0) ? 1 : 0);
+        assertFalse(second.role.isFirst());
+        first.changed(5, List.of(target("i-2", 4)));
+        assertEquals(List.of("i-1", "i-2"), second.targets());
+        second.changed(5, List.of(target("i-2", 4)));
+        assertEquals(List.of("i-1", "i-2"), second.targets());
+    }
+
     @Test
     void changesAndRemovalsReachTheOtherHostsAtOnce() {
         watchers().get(0).changed(5, List.of(target("i-2", 4)));
--- a/daemon/src/test/java/org/knapweedhatch/store/StoreWatcherTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/StoreWatcherTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -26,7 +27,8 @@
     private final MemoryPlatform store = MemoryPlatform.create();
     private final RecordingListener recorder = new RecordingListener();
     private volatile boolean active = true;
-    private final StoreWatcher watcher = StoreWatcher.start(store, PREFIX, recorder, () -> active, () -> 1);
+    private final StoreWatcher watcher =
+            StoreWatcher.start(store, PREFIX, recorder, () -> active, () -> Duration.ofMillis(50));
 
     /** Records the names of the objects, and the events in order. */
     private static final class RecordingListener implements StoreWatcher.Listener {
