--- a/core/src/test/java/org/knapweedhatch/quota/FleetAdmissionSimulation.java
+++ b/core/src/test/java/org/knapweedhatch/quota/FleetAdmissionSimulation.java
@@ -128,7 +128,7 @@
                 }
             }
             view = MembershipView.of(name(number), members);
-            holders = TeamHolders.of(view, known(), holders);
+            holders = withHolders ? TeamHolders.of(view, known(), holders) : TeamHolders.everyHost();
         }
 
         private long lastReachable(int other) {
@@ -161,6 +161,7 @@
     /** Fraction of all messages that is lost. */
     double lossRate;
 
+    private final boolean withHolders;
     private final Random random;
     private final List<Host> hosts = new ArrayList<>();
     private final Node[] nodes;
@@ -176,6 +177,12 @@
     private int steps;
 
     FleetAdmissionSimulation(long seed, int count, List<Team> teams) {
+        this(seed, count, teams, true);
+    }
+
+    /** Creates a fleet; without holders every host admits for itself. */
+    FleetAdmissionSimulation(long seed, int count, List<Team> teams, boolean withHolders) {
+        this.withHolders = withHolders;
         random = new Random(seed);
         this.teams = teams;
         for (int i = 0; i < count; i++) {
--- a/core/src/test/java/org/knapweedhatch/quota/TeamAdmissionTest.java
+++ b/core/src/test/java/org/knapweedhatch/quota/TeamAdmissionTest.java
@@ -21,7 +21,8 @@
     private static final double[] RATES = {6, 21, 35, 8, 12, 60, 100};
     private static final double ALLOWED_REFUSALS = 0.005;
 
-    private static List<Team> teams(int count) {
+    /** Returns teams of several rates, with bursts of a second. */
+    static List<Team> teams(int count) {
         return IntStream.range(0, count)
                 .mapToObj(i -> new Team(
                         "team-" + i, new RateLimit(RATES[i % RATES.length], Math.round(RATES[i % RATES.length]))))
@@ -83,6 +84,21 @@
         assertWithinTerms(fleet, teams, hosts + " hosts");
     }
 
+    @Test
+    void withoutHoldersManyHostsRefuseInsideTheRate() {
+        List<Team> teams = teams(90);
+        FleetAdmissionSimulation fleet = new FleetAdmissionSimulation(1, 95, teams, false);
+        fleet.run(Duration.ofSeconds(4), 0.3);
+        clearRefusals(fleet);
+        fleet.run(Duration.ofSeconds(5), 0.5);
+        int refused = fleet.tallies.values().stream()
+                .mapToInt(tally -> tally.refusedWithinRate)
+                .sum();
+        int offered =
+                fleet.tallies.values().stream().mapToInt(tally -> tally.offered).sum();
+        assertTrue(refused > 0.1 * offered, refused + " of " + offered);
+    }
+
     @ParameterizedTest
     @CsvSource({"25, 1", "25, 2", "95, 1", "95, 2", "300, 1"})
     void aTeamAtFourTimesItsRateIsHeldToTheTermsAndTakesNothingFromOthers(int hosts, long seed) {
