Let a holder that does not know a team decide nothing, and number questions anew

Cause: a holder whose configuration is older than the asker's has no bucket for a new team, and admitted all of its requests uncounted. A process that starts again numbered its questions from 1, so that a late reply to its predecessor could decide on another team.

Change: the reply says whether the holder limits the team; the asking host decides otherwise. Numbers start at the steady clock.

--- a/core/src/main/java/org/knapweedhatch/quota/TeamAdmission.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamAdmission.java
@@ -123,7 +123,9 @@
         }
         question.asked = question.untried.remove(0);
         question.dueNanos = time.nanos() + REPLY_TIMEOUT.toNanos();
-        long id = ++lastId;
+        // Ids of an earlier process of this host are not used again: a late reply to it must not decide here.
+        lastId = Math.max(lastId + 1, time.nanos());
+        long id = lastId;
         questions.put(id, question);
         return Optional.of(new OutgoingMessage(question.asked, new TokenRequest(id, question.team)));
     }
@@ -146,7 +148,9 @@
     /** Handles a message of another host; messages of other types are ignored. */
     public void receive(String from, PeerMessage message) {
         if (message instanceof TokenRequest request) {
-            send.accept(new OutgoingMessage(from, new TokenReply(request.id(), shares.trySpend(request.team()))));
+            boolean decided = shares.isLimited(request.team());
+            TokenReply reply = new TokenReply(request.id(), decided, shares.trySpend(request.team()));
+            send.accept(new OutgoingMessage(from, reply));
         } else if (message instanceof TokenReply reply) {
             receiveReply(from, reply);
         } else if (message instanceof TokenReturn returned) {
@@ -167,9 +171,13 @@
                     .ifPresent(exceeded ->
                             refusals.put(question.team, new Refusal(exceeded, time.nanos() + reuseNanos(exceeded))));
         }
-        question.decision.complete(reply.exceeded()
+        question.decision.complete(reply.decided() ? decisionOf(from, reply) : decideHere(question.team));
+    }
+
+    private static RateDecision decisionOf(String holder, TokenReply reply) {
+        return reply.exceeded()
                 .<RateDecision>map(RateDecision.Refused::new)
-                .orElseGet(() -> new RateDecision.Granted(from)));
+                .orElseGet(() -> new RateDecision.Granted(holder));
     }
 
     private static long reuseNanos(RateLimitExceeded exceeded) {
--- a/core/src/main/java/org/knapweedhatch/quota/TokenReply.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TokenReply.java
@@ -7,6 +7,7 @@
  * Reply of a holder to a {@link TokenRequest}.
  *
  * @param id number of the question
- * @param exceeded why the request was not admitted; empty if it was
+ * @param decided whether the holder limits the team; a holder with an older configuration may not know it
+ * @param exceeded why the request was not admitted; empty if it was, or if nothing was decided
  */
-public record TokenReply(long id, Optional<RateLimitExceeded> exceeded) implements PeerMessage {}
+public record TokenReply(long id, boolean decided, Optional<RateLimitExceeded> exceeded) implements PeerMessage {}
--- a/daemon/src/main/java/org/knapweedhatch/peer/ReportCodec.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/ReportCodec.java
@@ -80,7 +80,8 @@
     }
 
     private static TokenReplyRecord tokenReply(TokenReply message) {
-        TokenReplyRecord.Builder record = TokenReplyRecord.newBuilder().setId(message.id());
+        TokenReplyRecord.Builder record =
+                TokenReplyRecord.newBuilder().setId(message.id()).setUndecided(!message.decided());
         message.exceeded()
                 .ifPresent(exceeded -> record.setExceeded(RateExceededRecord.newBuilder()
                         .setRetryAfterNanos(exceeded.retryAfter().toNanos())
@@ -94,11 +95,12 @@
 
     private static TokenReply tokenReply(TokenReplyRecord record) {
         if (!record.hasExceeded()) {
-            return new TokenReply(record.getId(), Optional.empty());
+            return new TokenReply(record.getId(), !record.getUndecided(), Optional.empty());
         }
         RateExceededRecord exceeded = record.getExceeded();
         return new TokenReply(
                 record.getId(),
+                true,
                 Optional.of(new RateLimitExceeded(
                         Duration.ofNanos(Validate.notNegative(exceeded.getRetryAfterNanos(), "retry after")),
                         exceeded.getRate(),
--- a/daemon/src/test/java/org/knapweedhatch/peer/PeerCodecsTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/peer/PeerCodecsTest.java
@@ -62,8 +62,9 @@
                 new RateLimitExceeded(Duration.ofMillis(250), 5.5, -1.25, 0.5, new FleetSize(95, 94));
         for (PeerMessage message : List.of(
                 new TokenRequest(7, "crew-1"),
-                new TokenReply(7, Optional.empty()),
-                new TokenReply(8, Optional.of(exceeded)),
+                new TokenReply(7, true, Optional.empty()),
+                new TokenReply(9, false, Optional.empty()),
+                new TokenReply(8, true, Optional.of(exceeded)),
                 new TokenReturn("crew-1"))) {
             Envelope envelope = codecs.encode(message).build();
             assertEquals(message, codecs.decode("peer", envelope).orThrow());
--- a/proto/src/main/java/org/knapweedhatch/peer/proto/Report.java
+++ b/proto/src/main/java/org/knapweedhatch/peer/proto/Report.java
@@ -81,14 +81,15 @@
       "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022/\n\006report\030\003 " +
       "\001(\0132\037.knapweedhatch.HostReportRecord\".\n\022" +
       "TokenRequestRecord\022\n\n\002id\030\001 \001(\004\022\014\n\004team\030\002" +
-      " \001(\t\"S\n\020TokenReplyRecord\022\n\n\002id\030\001 \001(\004\0223\n\010" +
+      " \001(\t\"f\n\020TokenReplyRecord\022\n\n\002id\030\001 \001(\004\0223\n\010" +
       "exceeded\030\002 \001(\0132!.knapweedhatch.RateExcee" +
-      "dedRecord\"\206\001\n\022RateExceededRecord\022\031\n\021retr" +
-      "y_after_nanos\030\001 \001(\004\022\014\n\004rate\030\002 \001(\001\022\024\n\014fle" +
-      "et_tokens\030\003 \001(\001\022\023\n\013host_tokens\030\004 \001(\001\022\r\n\005" +
-      "hosts\030\005 \001(\r\022\r\n\005heard\030\006 \001(\r\"!\n\021TokenRetur" +
-      "nRecord\022\014\n\004team\030\001 \001(\tB \n\034org.knapweedhat" +
-      "ch.peer.protoP\001b\006proto3"
+      "dedRecord\022\021\n\tundecided\030\003 \001(\010\"\206\001\n\022RateExc" +
+      "eededRecord\022\031\n\021retry_after_nanos\030\001 \001(\004\022\014" +
+      "\n\004rate\030\002 \001(\001\022\024\n\014fleet_tokens\030\003 \001(\001\022\023\n\013ho" +
+      "st_tokens\030\004 \001(\001\022\r\n\005hosts\030\005 \001(\r\022\r\n\005heard\030" +
+      "\006 \001(\r\"!\n\021TokenReturnRecord\022\014\n\004team\030\001 \001(\t" +
+      "B \n\034org.knapweedhatch.peer.protoP\001b\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -123,7 +124,7 @@
     internal_static_knapweedhatch_TokenReplyRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_knapweedhatch_TokenReplyRecord_descriptor,
-        new java.lang.String[] { "Id", "Exceeded", });
+        new java.lang.String[] { "Id", "Exceeded", "Undecided", });
     internal_static_knapweedhatch_RateExceededRecord_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_knapweedhatch_RateExceededRecord_fieldAccessorTable = new
--- a/proto/src/main/java/org/knapweedhatch/peer/proto/TokenReplyRecord.java
+++ b/proto/src/main/java/org/knapweedhatch/peer/proto/TokenReplyRecord.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A reply without "exceeded" admits the request.
+ * A reply without "exceeded" admits the request, unless the holder does not limit the team.
  * </pre>
  *
  * Protobuf type {@code knapweedhatch.TokenReplyRecord}
@@ -90,6 +90,17 @@
     return exceeded_ == null ? org.knapweedhatch.peer.proto.RateExceededRecord.getDefaultInstance() : exceeded_;
   }
 
+  public static final int UNDECIDED_FIELD_NUMBER = 3;
+  private boolean undecided_ = false;
+  /**
+   * <code>bool undecided = 3;</code>
+   * @return The undecided.
+   */
+  @java.lang.Override
+  public boolean getUndecided() {
+    return undecided_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -110,6 +121,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(2, getExceeded());
     }
+    if (undecided_ != false) {
+      output.writeBool(3, undecided_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -122,6 +136,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, getExceeded());
     }
+    if (undecided_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, undecided_);
+    }
     return size;
   }
   @java.lang.Override
@@ -153,6 +171,8 @@
       if (!getExceeded()
           .equals(other.getExceeded())) return false;
     }
+    if (getUndecided()
+        != other.getUndecided()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -171,6 +191,9 @@
       hash = (37 * hash) + EXCEEDED_FIELD_NUMBER;
       hash = (53 * hash) + getExceeded().hashCode();
     }
+    hash = (37 * hash) + UNDECIDED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getUndecided());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -270,7 +293,7 @@
   }
   /**
    * <pre>
-   * A reply without "exceeded" admits the request.
+   * A reply without "exceeded" admits the request, unless the holder does not limit the team.
    * </pre>
    *
    * Protobuf type {@code knapweedhatch.TokenReplyRecord}
@@ -318,6 +341,7 @@
         exceededBuilder_.dispose();
         exceededBuilder_ = null;
       }
+      undecided_ = false;
       return this;
     }
 
@@ -361,6 +385,9 @@
             : exceededBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.undecided_ = undecided_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -382,6 +409,9 @@
       if (other.hasExceeded()) {
         mergeExceeded(other.getExceeded());
       }
+      if (other.getUndecided() != false) {
+        setUndecided(other.getUndecided());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -418,6 +448,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              undecided_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -586,6 +621,38 @@
       return exceededBuilder_;
     }
 
+    private boolean undecided_ ;
+    /**
+     * <code>bool undecided = 3;</code>
+     * @return The undecided.
+     */
+    @java.lang.Override
+    public boolean getUndecided() {
+      return undecided_;
+    }
+    /**
+     * <code>bool undecided = 3;</code>
+     * @param value The undecided to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUndecided(boolean value) {
+
+      undecided_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool undecided = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUndecided() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      undecided_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:knapweedhatch.TokenReplyRecord)
   }
 
--- a/proto/src/main/java/org/knapweedhatch/peer/proto/TokenReplyRecordOrBuilder.java
+++ b/proto/src/main/java/org/knapweedhatch/peer/proto/TokenReplyRecordOrBuilder.java
@@ -30,4 +30,10 @@
    * <code>.knapweedhatch.RateExceededRecord exceeded = 2;</code>
    */
   org.knapweedhatch.peer.proto.RateExceededRecordOrBuilder getExceededOrBuilder();
+
+  /**
+   * <code>bool undecided = 3;</code>
+   * @return The undecided.
+   */
+  boolean getUndecided();
 }
