Count a region for team limits while one of its hosts starts

Cause: the configuration number of a host in another region is the lowest of its region, 0 while one of its hosts starts, so that the whole region was left out of the holders.

--- a/core/src/main/java/org/knapweedhatch/quota/TeamHolders.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamHolders.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import org.knapweedhatch.member.Member;
+import org.knapweedhatch.member.MemberState;
 import org.knapweedhatch.member.MembershipView;
 import org.knapweedhatch.steer.Rendezvous;
 
@@ -60,7 +61,7 @@
                 view.member(view.self()).map(member -> member.host().region()).orElse("");
         SortedMap<String, List<String>> hosts = new TreeMap<>();
         view.members().values().stream()
-                .filter(Member::takesWork)
+                .filter(member -> mayAdmit(member, region))
                 .sorted(Comparator.comparing(Member::name))
                 .forEach(member -> hosts.computeIfAbsent(member.host().region(), name -> new ArrayList<>())
                         .add(member.name()));
@@ -69,6 +70,12 @@
         return unchanged ? previous : new TeamHolders(view.self(), region, hosts);
     }
 
+    /** A host of another region counts once it lives: whether each of them is ready is not known here. */
+    private static boolean mayAdmit(Member member, String ownRegion) {
+        boolean near = member.host().region().equals(ownRegion);
+        return near ? member.takesWork() : member.state() == MemberState.ALIVE;
+    }
+
     /** Returns whether every host admits for itself. */
     public boolean isEveryHost() {
         return hostsByRegion.isEmpty();
--- a/core/src/test/java/org/knapweedhatch/quota/TokenExchangeTest.java
+++ b/core/src/test/java/org/knapweedhatch/quota/TokenExchangeTest.java
@@ -125,6 +125,24 @@
         assertFalse(asker().holders.isHolder(TEAM));
     }
 
+    @Test
+    void regionWithAHostThatStartsStillCountsAndHostsThatStartHoldNothing() {
+        List<Member> members = IntStream.range(0, HOSTS)
+                .mapToObj(i -> {
+                    Address address = new Address("10.0.0.1", 1_000 + i);
+                    Host host = new Host("h" + i, i % 2 == 0 ? "lima" : "trujillo", "d", address, address);
+                    // The number of a remote region is the lowest of its hosts, 0 while one of them starts.
+                    boolean starting = i % 2 == 1 || i == 4;
+                    return new Member(host, 1, MemberState.ALIVE, starting ? 0 : 1, Load.NONE);
+                })
+                .toList();
+        TeamHolders holders = TeamHolders.of(MembershipView.of("h0", members), HOSTS, TeamHolders.everyHost());
+        assertEquals(2, holders.admitters(HOSTS));
+        for (int team = 0; team < 50; team++) {
+            assertFalse(holders.candidates("team-" + team).contains("h4"));
+        }
+    }
+
     @Test
     void tokensComeFromTheHolderAndGoBackToIt() {
         RateDecision decision = asker().admission.acquire(TEAM).join();
