--- a/cli/src/main/java/org/knapweedhatch/cli/explain/Story.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/explain/Story.java
@@ -107,10 +107,16 @@
                 .map(line -> " Team " + line.field("team") + " had " + line.field("level")
                         + " requests left over all hosts at a rate of " + line.field("rate") + "/s; "
                         + line.field("heard")
-                        + " of " + line.field("hosts") + " hosts were heard.")
+                        + " of " + line.field("hosts") + " hosts were heard." + holder(line))
                 .orElse("");
     }
 
+    /** Names the host that decided, if it was another one. */
+    private static String holder(LogLine line) {
+        String name = line.field("holder");
+        return name.isEmpty() ? "" : " Host " + name + " holds the limit and decided.";
+    }
+
     private String attempts() {
         StringBuilder text = new StringBuilder();
         lines.stream()
--- a/core/src/main/java/org/knapweedhatch/quota/RateDecision.java
+++ b/core/src/main/java/org/knapweedhatch/quota/RateDecision.java
@@ -10,6 +10,11 @@
      */
     record Granted(String host) implements RateDecision {}
 
-    /** The request was refused. */
-    record Refused(RateLimitExceeded exceeded) implements RateDecision {}
+    /**
+     * The request was refused.
+     *
+     * @param exceeded why
+     * @param host name of the host that refused it; empty for this host
+     */
+    record Refused(RateLimitExceeded exceeded, String host) implements RateDecision {}
 }
--- a/core/src/main/java/org/knapweedhatch/quota/TeamAdmission.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamAdmission.java
@@ -46,6 +46,8 @@
     private final Map<String, Long> suspectUntilNanos = new HashMap<>();
     private final Map<String, Refusal> refusals = new HashMap<>();
     private long lastId;
+    private long asked;
+    private long unanswered;
 
     /** A request that waits for the reply of a host. */
     private static final class Question {
@@ -62,7 +64,7 @@
     }
 
     /** The last refusal of a team by its holder, and until when it holds for further requests. */
-    private record Refusal(RateLimitExceeded exceeded, long untilNanos) {}
+    private record Refusal(RateLimitExceeded exceeded, String holder, long untilNanos) {}
 
     private TeamAdmission(
             String self,
@@ -102,7 +104,8 @@
         synchronized (this) {
             Refusal refusal = refusals.get(team);
             if (refusal != null && time.nanos() < refusal.untilNanos()) {
-                return CompletableFuture.completedFuture(new RateDecision.Refused(refusal.exceeded()));
+                return CompletableFuture.completedFuture(
+                        new RateDecision.Refused(refusal.exceeded(), refusal.holder()));
             }
             question = new Question(team, new ArrayList<>(holders.get().candidates(team)));
             question.untried.removeIf(host -> time.nanos() < suspectUntilNanos.getOrDefault(host, Long.MIN_VALUE));
@@ -124,6 +127,7 @@
         question.asked = question.untried.remove(0);
         question.dueNanos = time.nanos() + REPLY_TIMEOUT.toNanos();
         // Ids of an earlier process of this host are not used again: a late reply to it must not decide here.
+        asked++;
         lastId = Math.max(lastId + 1, time.nanos());
         long id = lastId;
         questions.put(id, question);
@@ -132,7 +136,7 @@
 
     private RateDecision decideHere(String team) {
         return shares.trySpend(team)
-                .<RateDecision>map(RateDecision.Refused::new)
+                .<RateDecision>map(exceeded -> new RateDecision.Refused(exceeded, ""))
                 .orElseGet(() -> new RateDecision.Granted(""));
     }
 
@@ -168,15 +172,15 @@
             }
             questions.remove(reply.id());
             reply.exceeded()
-                    .ifPresent(exceeded ->
-                            refusals.put(question.team, new Refusal(exceeded, time.nanos() + reuseNanos(exceeded))));
+                    .ifPresent(exceeded -> refusals.put(
+                            question.team, new Refusal(exceeded, from, time.nanos() + reuseNanos(exceeded))));
         }
         question.decision.complete(reply.decided() ? decisionOf(from, reply) : decideHere(question.team));
     }
 
     private static RateDecision decisionOf(String holder, TokenReply reply) {
         return reply.exceeded()
-                .<RateDecision>map(RateDecision.Refused::new)
+                .<RateDecision>map(exceeded -> new RateDecision.Refused(exceeded, holder))
                 .orElseGet(() -> new RateDecision.Granted(holder));
     }
 
@@ -197,6 +201,7 @@
                 }
                 return due;
             });
+            unanswered += overdue.size();
             overdue.forEach(question -> suspectUntilNanos.put(question.asked, now + SUSPECT_TIME.toNanos()));
             overdue.removeIf(question -> {
                 Optional<OutgoingMessage> next = askNext(question);
@@ -209,4 +214,14 @@
         messages.forEach(send);
         overdue.forEach(question -> question.decision.complete(decideHere(question.team)));
     }
+
+    /** Returns the number of questions sent to other hosts since the start. */
+    public synchronized long asked() {
+        return asked;
+    }
+
+    /** Returns the number of questions that were not answered in time since the start. */
+    public synchronized long unanswered() {
+        return unanswered;
+    }
 }
--- a/daemon/src/main/java/org/knapweedhatch/front/Admission.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/Admission.java
@@ -11,6 +11,7 @@
 import org.knapweedhatch.answer.Refusal;
 import org.knapweedhatch.key.KeyCheck;
 import org.knapweedhatch.log.LineKind;
+import org.knapweedhatch.quota.RateDecision;
 import org.knapweedhatch.quota.RateLimitExceeded;
 import org.knapweedhatch.world.Access;
 import org.knapweedhatch.world.Configuration;
@@ -75,11 +76,13 @@
     }
 
     /** Returns the refusal of a request beyond its team's rate, and logs what it was decided by. */
-    Refused overLimit(HttpRequest request, String team, RateLimitExceeded exceeded) {
+    Refused overLimit(HttpRequest request, String team, RateDecision.Refused refused) {
+        RateLimitExceeded exceeded = refused.exceeded();
         context.log()
                 .line(LineKind.LIMIT)
                 .put("request", request.headers().get(context.headerScheme().requestId()))
                 .put("team", team)
+                .put("holder", refused.host().isEmpty() ? null : refused.host())
                 .put("rate", exceeded.rate())
                 .put("level", exceeded.fleetTokens())
                 .put("own", exceeded.hostTokens())
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -131,7 +131,7 @@
             }
         } else if (!finished) {
             Admission.Refused refused =
-                    server.admission().overLimit(head, allowed.team(), ((RateDecision.Refused) decided).exceeded());
+                    server.admission().overLimit(head, allowed.team(), (RateDecision.Refused) decided);
             refuse(refused.refusal(), refused.team());
         }
     }
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -331,7 +331,8 @@
             return rateDecision;
         }
         return CompletableFuture.completedFuture(
-                spent.<RateDecision>map(RateDecision.Refused::new).orElseGet(() -> new RateDecision.Granted("")));
+                spent.<RateDecision>map(exceeded -> new RateDecision.Refused(exceeded, ""))
+                        .orElseGet(() -> new RateDecision.Granted("")));
     }
 
     @Override
--- a/daemon/src/test/java/org/knapweedhatch/front/RemoteAdmissionTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/RemoteAdmissionTest.java
@@ -55,10 +55,12 @@
         try (FrontFixture.Caller caller = front.new Caller()) {
             caller.send(get("id-1"));
             decision.complete(new RateDecision.Refused(
-                    new RateLimitExceeded(Duration.ofMillis(250), 5, 0, 0, FleetSize.unknown())));
+                    new RateLimitExceeded(Duration.ofMillis(250), 5, 0, 0, FleetSize.unknown()), "lima-a-2"));
             assertEquals(429, caller.read().status());
             assertTrue(front.target(0).received().isEmpty());
         }
+        String logged = front.logText();
+        assertTrue(logged.contains("\"holder\":\"lima-a-2\""), logged);
     }
 
     @Test
