--- a/cli/src/test/java/org/knapweedhatch/cli/explain/StoryTest.java
+++ b/cli/src/test/java/org/knapweedhatch/cli/explain/StoryTest.java
@@ -72,11 +72,7 @@
         Story story = Story.of(
                 "r1",
                 List.of(
-                        line(
-                                1,
-                                "h1",
-                                "limit",
-                                "'request':'r1','team':'crew','holder':'h7','rate':8.0,'level':0.4,'hosts':95,'heard':95"),
+                        line(1, "h1", "limit", "'request':'r1','team':'crew','holder':'h7','rate':8.0,'level':0.4"),
                         line(1, "h1", "refused", "'request':'r1','reason':'LIMITED','afterMs':3.2")));
         assertTrue(story.ending().endsWith("Host h7 holds the limit and decided."), story.ending());
     }
