Look routes up by prefix length, and tell an operator which route a request takes

Cause: a request was matched against each route of its host name in turn, which grows with a configuration that grows by many routes; and nothing told which route a request takes.

Change: world.RouteTable takes one step for each different length of a prefix; `knapweedhatch route HOST PATH` prints the route taken and the shorter ones that match. Tests: RouteTableTest against a search through all routes, CliTest.

--- a/cli/src/main/java/org/knapweedhatch/cli/Commands.java
+++ b/cli/src/main/java/org/knapweedhatch/cli/Commands.java
@@ -22,6 +22,7 @@
             KeyWithdrawCommand::new,
             HostsCommand::new,
             LookupCommand::new,
+            RouteCommand::new,
             TimelineCommand::new,
             ReplayCommand::new,
             TraceCommand::new,
--- a/cli/src/test/java/org/knapweedhatch/cli/CliTest.java
+++ b/cli/src/test/java/org/knapweedhatch/cli/CliTest.java
@@ -24,6 +24,8 @@
 import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.helper.Digests;
 import org.knapweedhatch.platform.MemoryPlatform;
+import org.knapweedhatch.platform.wire.ExampleEntries;
+import org.knapweedhatch.platform.wire.OperatorConfiguration;
 import org.knapweedhatch.release.ReleaseStore;
 import org.knapweedhatch.standin.PlatformStandIn;
 import org.knapweedhatch.world.Configuration;
@@ -191,6 +193,30 @@
         assertTrue(out().contains("127.0.0.11:80         weight 3"), out());
     }
 
+    @Test
+    void routeTellsWhichRouteARequestTakes() throws IOException {
+        byte[] body = ExampleEntries.configuration(12, 1).body();
+        Path file = Files.write(Files.createTempFile(folder, "c", ".json"), body);
+        assertEquals(ExitCode.OK, run("route", "A.example", "/a/17", "--configuration", file.toString()));
+        assertTrue(out().contains("taken: orders (a.example/a/) -> {orders=1.0}, IDEMPOTENT, key, 1000 ms"), out());
+        memory.create(OperatorConfiguration.NAME, body).orThrow();
+        assertEquals(ExitCode.OK, run("route", "a.example", "/a/17", "--json"));
+        JsonNode report = new ObjectMapper().readTree(out());
+        assertEquals("orders", report.path("matches").path(0).path("name").asText());
+    }
+
+    @Test
+    void routeSaysThatNoneMatchesOrThatTheConfigurationCannotBeRead() throws IOException {
+        Path file = Files.write(
+                Files.createTempFile(folder, "c", ".json"),
+                ExampleEntries.configuration(12, 1).body());
+        assertEquals(ExitCode.FAILED, run("route", "a.example", "/b", "--configuration", file.toString()));
+        assertTrue(err().contains("no route of configuration 12 matches a.example /b"), err());
+        Files.writeString(file, "{}");
+        assertEquals(ExitCode.USAGE, run("route", "a.example", "/b", "--configuration", file.toString()));
+        assertTrue(err().startsWith(file + ": "), err());
+    }
+
     @Test
     void settingsComeFromAFileWithEveryFaultListed() {
         String text = "[platform]\naddress = nowhere\ncolour = red\n[else]\n";
--- a/core/src/main/java/org/knapweedhatch/world/Configuration.java
+++ b/core/src/main/java/org/knapweedhatch/world/Configuration.java
@@ -1,8 +1,8 @@
 package org.knapweedhatch.world;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -22,11 +22,6 @@
  */
 public final class Configuration {
 
-    private static final Comparator<Route> LONGEST_PATH_FIRST = Comparator.comparingInt(
-                    (Route route) -> route.path().length())
-            .reversed()
-            .thenComparing(Route::name);
-
     private static final Configuration EMPTY = new Builder().build(0);
 
     private final long number;
@@ -43,7 +38,7 @@
     private final Set<Drain> drains;
     private final CallerLimits callerLimits;
     private final Map<String, ApiKey> keysByDigest;
-    private final Map<String, List<Route>> routesByHost;
+    private final Map<String, RouteTable> routesByHost;
 
     private Configuration(Builder b, long number) {
         this.number = number;
@@ -60,8 +55,8 @@
         drains = Set.copyOf(b.drains);
         callerLimits = b.callerLimits;
         routesByHost = routes.values().stream()
-                .sorted(LONGEST_PATH_FIRST)
-                .collect(Collectors.groupingBy(Route::host, Collectors.toUnmodifiableList()));
+                .collect(Collectors.groupingBy(
+                        Route::host, Collectors.collectingAndThen(Collectors.toList(), RouteTable::of)));
         keysByDigest =
                 keys.values().stream().collect(Collectors.toUnmodifiableMap(ApiKey::digest, Function.identity()));
     }
@@ -179,17 +174,17 @@
     }
 
     private Optional<Route> longestMatch(String host, String path) {
-        return routesByHost.getOrDefault(host, List.of()).stream()
-                .filter(route -> isPathPrefix(route.path(), path))
-                .findFirst();
+        return routesByHost.getOrDefault(host, RouteTable.empty()).longestMatch(path);
     }
 
-    private static boolean isPathPrefix(String prefix, String path) {
-        if (!path.startsWith(prefix)) {
-            return false;
+    /** Returns all routes of a host name, then those for any host name, that match a path; the first one is used. */
+    public List<Route> matchingRoutes(String host, String path) {
+        List<Route> matches = new ArrayList<>(
+                routesByHost.getOrDefault(host, RouteTable.empty()).matches(path));
+        if (!host.isEmpty()) {
+            matches.addAll(routesByHost.getOrDefault("", RouteTable.empty()).matches(path));
         }
-        boolean endsAtSegment = path.length() == prefix.length() || prefix.endsWith("/");
-        return endsAtSegment || path.charAt(prefix.length()) == '/';
+        return matches;
     }
 
     /** Returns the region of a failure domain; empty if the domain is not declared. */
