Drop a target of whose leaving a mate tells on a host that the store turns away

Cause: a host that the store refuses keeps entries that lapse, and kept those of whose removal a watching host of its domain told it. As when it fetches from a host, the store answers the sender. Test: StoreRelayTest, which failed before.

--- a/daemon/src/main/java/org/knapweedhatch/store/StoreCache.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreCache.java
@@ -168,6 +168,10 @@
         if (cached.asOf() == 0 || cached.version() < fromVersion) {
             return false;
         }
+        if (kind == ObjectKind.TARGETS) {
+            // As in receiveFromPeer: the store answers the other host.
+            targets.storeReachable(true);
+        }
         applyChanges(kind, changes);
         return true;
     }
--- a/daemon/src/main/java/org/knapweedhatch/store/StoreRelay.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreRelay.java
@@ -69,6 +69,7 @@
     /** Handles a message of another host; messages of other types are ignored. */
     public void receive(String from, PeerMessage message) {
         if (message instanceof StoreChanges news) {
+            lostNanos.remove(from);
             boolean applied = cache.receiveChanges(news.kind(), news.fromVersion(), news.changes());
             if (!applied) {
                 fetcher.fetch(news.kind(), from, news.changes().asOf());
--- a/daemon/src/test/java/org/knapweedhatch/store/StoreRelayTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/StoreRelayTest.java
@@ -33,6 +33,7 @@
 import org.knapweedhatch.platform.wire.TargetEntry;
 import org.knapweedhatch.report.HostReports;
 import org.knapweedhatch.target.KnownTarget;
+import org.knapweedhatch.target.TargetRegistry;
 import org.knapweedhatch.world.Address;
 import org.knapweedhatch.world.Host;
 
@@ -240,6 +241,16 @@
         assertEquals(List.of(), follower().targets());
     }
 
+    @Test
+    void aHostThatTheStoreTurnsAwayDropsATargetOfWhoseLeavingItsMateTells() {
+        Node away = watchers().get(0);
+        away.cache.listener(ObjectKind.TARGETS).failed(Fault.at(Step.PLATFORM, "servers/", "status 503"));
+        advance(Duration.ofSeconds(4));
+        watchers().get(1).changed(9, List.of(), "i-1");
+        advance(TargetRegistry.RETURN_TIME.plusMillis(100));
+        assertEquals(List.of(), away.targets());
+    }
+
     @Test
     void whileOneOfTheWatchingHostsReachesTheStoreATargetThatLeftIsDropped() {
         watchers().get(0).cache.listener(ObjectKind.TARGETS).failed(Fault.at(Step.PLATFORM, "servers/", "status 503"));
