Take back no token that this process did not grant; count heard hosts by reports in a small fleet

Cause: a token returned to a holder that started again after granting it made a token out of nothing. In a small fleet a host whose reports arrive counted as unheard while membership lost its region's digests, which reserves its share. Test: TokenExchangeTest.

--- a/core/src/main/java/org/knapweedhatch/quota/TeamAdmission.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamAdmission.java
@@ -126,8 +126,8 @@
         }
         question.asked = question.untried.remove(0);
         question.dueNanos = time.nanos() + REPLY_TIMEOUT.toNanos();
-        // Ids of an earlier process of this host are not used again: a late reply to it must not decide here.
         asked++;
+        // Ids of an earlier process of this host are not used again: a late reply to it must not decide here.
         lastId = Math.max(lastId + 1, time.nanos());
         long id = lastId;
         questions.put(id, question);
--- a/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
+++ b/core/src/main/java/org/knapweedhatch/quota/TeamShares.java
@@ -245,9 +245,12 @@
             return true;
         }
 
+        /** Takes a token back, unless this process has granted none: it may come from an earlier process. */
         void refund() {
-            hostTokens++;
-            spent--;
+            if (spent > 0) {
+                hostTokens++;
+                spent--;
+            }
         }
 
         RateLimitExceeded limitExceeded() {
--- a/core/src/test/java/org/knapweedhatch/quota/TokenExchangeTest.java
+++ b/core/src/test/java/org/knapweedhatch/quota/TokenExchangeTest.java
@@ -153,6 +153,26 @@
         assertEquals(0, holder().spent());
     }
 
+    @Test
+    void tokenOfAnEarlierProcessIsNotTakenBack() {
+        int before = ownTokens(holder());
+        holder().admission.receive(asker().name, new TokenReturn(TEAM));
+        assertEquals(0, holder().spent());
+        assertEquals(before, ownTokens(holder()));
+    }
+
+    /** Returns how many requests the host admits at once. */
+    private static int ownTokens(Node node) {
+        int admitted = 0;
+        while (node.shares.trySpend(TEAM).isEmpty()) {
+            admitted++;
+        }
+        for (int i = 0; i < admitted; i++) {
+            node.shares.refund(TEAM);
+        }
+        return admitted;
+    }
+
     @Test
     void backupDecidesWhenTheHolderDoesNotReplyAndALateReplyIsIgnored() {
         losing = true;
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -332,8 +332,9 @@
         if (now == null || now.members().size() < 2) {
             return FleetSize.unknown();
         }
-        // Reports of a host that fell silent are kept for a while, in a large fleet longer than its membership.
-        return FleetSize.of(hosts.count(), Math.min(reports.hostCount(), aliveOthers));
+        // In a large fleet reports of a host that fell silent are kept for longer than membership takes to notice.
+        int heard = holders.isEveryHost() ? reports.hostCount() : Math.min(reports.hostCount(), aliveOthers);
+        return FleetSize.of(hosts.count(), heard);
     }
 
     private TeamHolders holders() {
