--- a/core/src/main/java/org/knapweedhatch/report/ReportExchange.java
+++ b/core/src/main/java/org/knapweedhatch/report/ReportExchange.java
@@ -36,7 +36,7 @@
     /** Shortest interval at which reports are collected; each takes up to three intervals to reach all hosts. */
     private static final Duration COLLECT_INTERVAL = Duration.ofMillis(500);
 
-    /** Reports a second that a host takes in: under 1 % of a core at about 0.04 ms each. */
+    /** Most reports a second that a host takes in, which bounds their processor time. */
     private static final int MAX_COLLECTED_PER_SECOND = 200;
 
     private static final Duration MAX_COLLECT_INTERVAL = Duration.ofMillis(1_500);
