--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -8,4 +8,4 @@
   exit 2
 fi
 cd "$folder/../.." || exit 2
-exec java -Xmx400m -cp "$classes" Cases abandoned-answers "$PWD" "$folder"
+exec java -Xmx400m -cp "$classes" Cases extra-bytes "$PWD" "$folder"
