Do not reuse a target's connection on which bytes follow an answer

Cause: bytes in the same read as the end of an answer were counted while its request was still in progress, so they were not unsolicited; a beginning of a response stayed in the decoder, and the next answer became the rest of its head. A target that refused, or extra bytes that came later, are ruled out by that time. Ruled out by reading: the bytes of a read between two requests, which were seen before.

A connection goes back to the pool only if the decoder holds no undecoded byte. New gauge target_protocol_errors.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -210,6 +210,10 @@
                 "caller_connections_closed_for_room",
                 "Idle connections of callers closed for others since the start",
                 server::evictedConnections);
+        metrics.gauge(
+                "target_protocol_errors",
+                "Connections closed for a protocol error of their target since the start",
+                server::targetProtocolErrors);
         metrics.gauge("log_lines", "Log lines written since the start", log::written);
         metrics.gauge("log_lines_dropped", "Log lines left out since the start", log::dropped);
         metrics.gauge(
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -80,6 +80,7 @@
                 loop,
                 context.headerScheme(),
                 context.time(),
+                context.log(),
                 context.connectionLimits().idleTargetConnections());
     }
 
@@ -197,6 +198,11 @@
         return evictedConnections.sum();
     }
 
+    /** Returns the number of connections closed for a protocol error of their target since the start. */
+    public long targetProtocolErrors() {
+        return targetConnections.protocolErrors();
+    }
+
     /** Returns the longest time that a connection accepted now may have waited, in nanoseconds. */
     long maxAcceptDelayNanos() {
         return acceptHandler.maxAcceptDelayNanos();
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -65,6 +65,9 @@
     interface Owner {
         void onIdle(TargetConnection connection);
 
+        /** The target broke HTTP; the connection is closed and carries no further request. */
+        void onProtocolError(TargetConnection connection, String why);
+
         void onClosed(TargetConnection connection);
     }
 
@@ -77,11 +80,14 @@
     private CompositeByteBuf body;
     private long bytesReceived;
     private int informationalResponses;
+    private int requestsSent;
+    private String requestId = "";
     private boolean skipping;
     private boolean requestWritten;
     private boolean responseRead;
     private boolean unusable;
     private boolean failed;
+    private boolean protocolErrorReported;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
     private long idleSinceNanos;
 
@@ -102,6 +108,8 @@
             return;
         }
         request = outgoing;
+        requestId = outgoing.id();
+        requestsSent++;
         listener = receiver;
         requestWritten = false;
         responseRead = false;
@@ -157,6 +165,16 @@
         becomeIdle();
     }
 
+    /** Returns the number of requests sent on this connection. */
+    int requestsSent() {
+        return requestsSent;
+    }
+
+    /** Returns the id of the last request sent; empty if it had none. */
+    String requestId() {
+        return requestId;
+    }
+
     /** Closes an idle connection. */
     void close() {
         context.close();
@@ -183,9 +201,9 @@
     void bytesReceived(int count) {
         bytesReceived += count;
         if (request == null) {
-            fail("unsolicited bytes received");
+            failProtocol("unsolicited bytes received");
         } else if (bytesReceived > MAX_RESPONSE_BYTES + MAX_OVERHEAD_BYTES) {
-            fail("more than " + (MAX_RESPONSE_BYTES + MAX_OVERHEAD_BYTES) + " bytes received for one request");
+            failProtocol("more than " + (MAX_RESPONSE_BYTES + MAX_OVERHEAD_BYTES) + " bytes received for one request");
         }
     }
 
@@ -208,19 +226,19 @@
 
     private void startResponse(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            fail("the response is not valid HTTP");
+            failProtocol("the response is not valid HTTP");
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipping = true;
             informationalResponses++;
             if (informationalResponses > MAX_INFORMATIONAL) {
-                fail("more than " + MAX_INFORMATIONAL + " informational responses received");
+                failProtocol("more than " + MAX_INFORMATIONAL + " informational responses received");
             }
             return;
         }
         if (request == null || responseRead) {
-            fail("unsolicited response received");
+            failProtocol("unsolicited response received");
             return;
         }
         skipping = !matchesRequest(response);
@@ -249,7 +267,7 @@
             return;
         }
         if (content.decoderResult().isFailure()) {
-            fail("the response body is malformed");
+            failProtocol("the response body is malformed");
             return;
         }
         boolean last = content instanceof LastHttpContent;
@@ -264,7 +282,7 @@
         if (bytes.isReadable()) {
             body.addComponent(true, bytes.retain());
             if (body.readableBytes() > MAX_RESPONSE_BYTES) {
-                fail("the response body is larger than " + MAX_RESPONSE_BYTES + " bytes");
+                failProtocol("the response body is larger than " + MAX_RESPONSE_BYTES + " bytes");
                 return;
             }
         }
@@ -275,14 +293,18 @@
     }
 
     /**
-     * Passes the response on once it is read; the connection is reusable only if the request was written completely
-     * too.
+     * Passes the response on once it is read. The connection is reusable only if the request was written completely
+     * too, and no bytes follow the response: the decoder would take them for the beginning of the next one.
      */
     private void completeIfDone() {
         if (!responseRead || head == null) {
             return;
         }
-        boolean clean = requestWritten && HttpUtil.isKeepAlive(head) && isDelimited(head);
+        int bytesBehind = context.pipeline().get(ResponseDecoder.class).undecodedBytes();
+        if (bytesBehind > 0) {
+            reportProtocolError(bytesBehind + " bytes received behind a response");
+        }
+        boolean clean = bytesBehind == 0 && requestWritten && HttpUtil.isKeepAlive(head) && isDelimited(head);
         keepAlive = keepAliveOf(head.headers());
         TargetResponse response = new TargetResponse(head.status(), head.headers(), body);
         Listener receiver = listener;
@@ -348,6 +370,20 @@
         }
     }
 
+    private void failProtocol(String why) {
+        if (!failed) {
+            reportProtocolError(why);
+            fail(why);
+        }
+    }
+
+    private void reportProtocolError(String why) {
+        if (!protocolErrorReported) {
+            protocolErrorReported = true;
+            owner.onProtocolError(this, why);
+        }
+    }
+
     private void releaseBody() {
         if (body != null) {
             body.release();
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnectionPool.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnectionPool.java
@@ -7,9 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -19,7 +17,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.LongAdder;
 import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.log.EventLog;
+import org.knapweedhatch.log.LineKind;
 import org.knapweedhatch.message.HeaderScheme;
 import org.knapweedhatch.target.KnownTarget;
 import org.knapweedhatch.world.Address;
@@ -37,15 +38,6 @@
     /** Idle connections kept per target; more than the requests that one host has there at a time. */
     private static final int MAX_IDLE_PER_TARGET = 8;
 
-    /** Longest status line in bytes; common servers send far less. */
-    private static final int MAX_LINE_BYTES = 8_192;
-
-    /** Longest head of a response in bytes; twice what callers may send. */
-    private static final int MAX_HEAD_BYTES = 32_768;
-
-    /** Largest part of a response that is decoded at once, in bytes; bounds the memory of a read. */
-    private static final int MAX_CHUNK_BYTES = 16_384;
-
     /** Receives the result of {@link #acquire}; exactly one method is called, once. */
     interface ConnectionListener {
         void onConnected(TargetConnection connection);
@@ -59,14 +51,17 @@
     private final EventLoop loop;
     private final HeaderScheme scheme;
     private final TimeSource time;
+    private final EventLog log;
+    private final LongAdder protocolErrors = new LongAdder();
     private final Map<Endpoint, Deque<TargetConnection>> idleByEndpoint = new HashMap<>();
     private final OpenConnections<TargetConnection> allIdle;
 
-    TargetConnectionPool(EventLoop loop, HeaderScheme scheme, TimeSource time, int maxIdleConnections) {
+    TargetConnectionPool(EventLoop loop, HeaderScheme scheme, TimeSource time, EventLog log, int maxIdleConnections) {
         allIdle = OpenConnections.of(maxIdleConnections);
         this.loop = loop;
         this.scheme = scheme;
         this.time = time;
+        this.log = log;
     }
 
     /**
@@ -134,6 +129,11 @@
         stale.forEach(TargetConnection::close);
     }
 
+    /** Returns the number of connections closed for a protocol error of their target since the start; thread-safe. */
+    long protocolErrors() {
+        return protocolErrors.sum();
+    }
+
     /** Closes the longest idle connection, if there is any. */
     void closeLongestIdle() {
         allIdle.removeLongestIdle().ifPresent(TargetConnection::close);
@@ -158,6 +158,18 @@
             }
         }
 
+        @Override
+        public void onProtocolError(TargetConnection connection, String why) {
+            protocolErrors.increment();
+            log.line(LineKind.PROTOCOL)
+                    .put("target", endpoint.name())
+                    .put("address", endpoint.address().toString())
+                    .put("why", why)
+                    .put("request", connection.requestId())
+                    .put("requests", connection.requestsSent())
+                    .write();
+        }
+
         @Override
         public void onClosed(TargetConnection connection) {
             allIdle.remove(connection);
@@ -185,19 +197,4 @@
                     .addLast(connection);
         }
     }
-
-    /** Decodes responses and knows that those to HEAD requests have no body. */
-    private static final class ResponseDecoder extends HttpResponseDecoder {
-        private final TargetConnection connection;
-
-        ResponseDecoder(TargetConnection connection) {
-            super(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
-            this.connection = connection;
-        }
-
-        @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            return connection.expectsNoBody() || super.isContentAlwaysEmpty(message);
-        }
-    }
 }
--- a/daemon/src/main/java/org/knapweedhatch/log/LineKind.java
+++ b/daemon/src/main/java/org/knapweedhatch/log/LineKind.java
@@ -32,6 +32,8 @@
     FAILED(400),
     /** An attempt ended without an answer that can be passed on. */
     ATTEMPT(400),
+    /** A target broke HTTP on a connection, which is closed. */
+    PROTOCOL(50),
     /** Lines were left out. */
     DROPPED(10),
     /** A message of a library or of a part without a kind of its own. */
--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -27,6 +27,9 @@
 
     private static final HeaderScheme HEADERS = HeaderScheme.defaults();
 
+    /** The beginning of a response that says that the request did not run. */
+    private static final String BROKEN_OFF_REFUSAL = "HTTP/1.1 503 Busy\r\n" + HEADERS.notRun() + ": 1";
+
     /** A received request; header names are in lower case. */
     record Received(String method, String path, Map<String, String> headers, String body) {
         String header(String name) {
@@ -180,6 +183,7 @@
             case "error" -> write(out, whole(500, id, "failed"));
             case "misdirected" -> write(out, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
             case "twice" -> write(out, whole(200, id, "first") + whole(200, id, "second"));
+            case "extra-head" -> write(out, whole(200, id, "whole") + BROKEN_OFF_REFUSAL);
             case "late" -> {
                 write(out, whole(200, "an-earlier-id", "not for you") + whole(200, id, "for you"));
             }
