Reject a response head that is put together from two

Related path of the fault before: the extra bytes come late, when the next request has been sent. The decoder then takes the status line of the real answer for a part of a line of the broken-off head, and the headers behind it, with the id and the signature, for its own. Callers got 503 "not run" for a request that ran, or a signed answer with another status (500 for 200). The id does not tell, as it is the real one.

A status line inside a reason phrase or a header's value, or two ids, closes the connection as a protocol error; the request may have run.

--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -229,6 +229,10 @@
             failProtocol("the response is not valid HTTP");
             return;
         }
+        if (ResponseHeads.isMerged(response, scheme)) {
+            failProtocol("the response begins with the broken-off head of another");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipping = true;
             informationalResponses++;
--- a/daemon/src/test/java/org/knapweedhatch/front/ExtraResponseBytesTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ExtraResponseBytesTest.java
@@ -4,9 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.knapweedhatch.message.HeaderScheme;
 
 /** Targets that send bytes which belong to no request. */
 class ExtraResponseBytesTest {
@@ -44,4 +48,20 @@
         String log = front.logText();
         assertTrue(log.contains("bytes received behind a response"), log);
     }
+
+    /** Guards against a head that was broken off before an answer changing the status or the meaning of that answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"merged-head", "merged-reason", "merged-type", "merged-version", "two-ids"})
+    void brokenOffHeadBeforeAnAnswerDoesNotChangeIt(String script) throws Exception {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(post("/once/first", "id-1"));
+            assertEquals(200, caller.read().status());
+            caller.send(post("/once/" + script, "id-2"));
+            FrontFixture.Response answer = caller.read();
+            assertEquals(502, answer.status());
+            assertEquals(Optional.empty(), answer.header(HeaderScheme.defaults().signature()));
+        }
+        assertEquals(1, front.timesSent("/once/" + script));
+        assertEquals(1, front.server().targetProtocolErrors());
+    }
 }
--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -184,6 +184,15 @@
             case "misdirected" -> write(out, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
             case "twice" -> write(out, whole(200, id, "first") + whole(200, id, "second"));
             case "extra-head" -> write(out, whole(200, id, "whole") + BROKEN_OFF_REFUSAL);
+            case "merged-head" -> write(out, BROKEN_OFF_REFUSAL + whole(200, id, "whole"));
+            case "merged-reason" -> write(out, "HTTP/1.1 503 Bu" + whole(200, id, "whole"));
+            case "merged-type" -> write(out, "HTTP/1.1 500 Error\r\nContent-Type: text/html" + whole(200, id, "whole"));
+            case "merged-version" -> write(out, "HTTP" + whole(200, id, "whole"));
+            case "two-ids" ->
+                write(
+                        out,
+                        "HTTP/1.1 503 Busy\r\n" + HEADERS.requestId() + ": an-earlier-id\r\n" + HEADERS.notRun()
+                                + ": 1\r\n" + whole(200, id, "whole").replaceFirst("HTTP/1.1 200 S\r\n", ""));
             case "late" -> {
                 write(out, whole(200, "an-earlier-id", "not for you") + whole(200, id, "for you"));
             }
