Do not take a refusal without an id for the answer of a request on a kept connection

Report of another operator: a target wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran. With the earlier request's id such a copy was skipped already; without an id it was taken for the refusal of the next request (503 for one that ran, or a second run elsewhere).

A refusal without an id counts only as the first response of a connection, where it can belong to no other request, and the connection is not reused after it. The two new tests got 503, and one connection where two are wanted, before.

--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -29,8 +29,8 @@
 /**
  * One connection to a target, which carries one request at a time.
  *
- * <p>A response that echoes the id of another request belongs to an earlier request and is skipped. Any other
- * unsolicited input closes the connection. For use on its event loop only.
+ * <p>A response that echoes the id of another request, or none, may belong to an earlier request and is skipped. Any
+ * other unsolicited input closes the connection. For use on its event loop only.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
@@ -252,13 +252,20 @@
         }
     }
 
-    /** Returns whether a response belongs to the request in progress: it echoes its id, or refuses it without an id. */
+    /**
+     * Returns whether a response belongs to the request in progress: it echoes its id. A refusal without an id counts
+     * only on a connection that carried no earlier request, to which it might belong too.
+     */
     private boolean matchesRequest(HttpResponse response) {
         String echoed = response.headers().get(scheme.requestId());
         if (request.id().isEmpty() || request.id().equals(echoed)) {
             return true;
         }
-        return echoed == null && isNotRun(response.status().code(), response.headers());
+        if (echoed != null) {
+            return false;
+        }
+        reportProtocolError("a response without the id of its request received");
+        return requestsSent == 1 && isNotRun(response.status().code(), response.headers());
     }
 
     /** Returns whether a response states that the target did not run the request. */
@@ -297,8 +304,8 @@
     }
 
     /**
-     * Passes the response on once it is read. The connection is reusable only if the request was written completely
-     * too, and no bytes follow the response: the decoder would take them for the beginning of the next one.
+     * Passes the response on once it is read. The connection is reusable only if the request was written completely too
+     * and the target kept to HTTP. The decoder would take bytes behind the response for the beginning of the next one.
      */
     private void completeIfDone() {
         if (!responseRead || head == null) {
@@ -308,7 +315,7 @@
         if (bytesBehind > 0) {
             reportProtocolError(bytesBehind + " bytes received behind a response");
         }
-        boolean clean = bytesBehind == 0 && requestWritten && HttpUtil.isKeepAlive(head) && isDelimited(head);
+        boolean clean = !protocolErrorReported && requestWritten && HttpUtil.isKeepAlive(head) && isDelimited(head);
         keepAlive = keepAliveOf(head.headers());
         TargetResponse response = new TargetResponse(head.status(), head.headers(), body);
         Listener receiver = listener;
--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -37,6 +37,9 @@
         }
     }
 
+    private static final String REFUSAL_WITHOUT_ID =
+            "HTTP/1.1 503 Busy\r\n" + HEADERS.notRun() + ": 1\r\nContent-Length: 0\r\n\r\n";
+
     private final ServerSocket listener;
     private final List<Received> received = new CopyOnWriteArrayList<>();
     private final List<Socket> open = new CopyOnWriteArrayList<>();
@@ -193,6 +196,10 @@
                         out,
                         "HTTP/1.1 503 Busy\r\n" + HEADERS.requestId() + ": an-earlier-id\r\n" + HEADERS.notRun()
                                 + ": 1\r\n" + whole(200, id, "whole").replaceFirst("HTTP/1.1 200 S\r\n", ""));
+            case "refuse" -> write(out, refusal(id));
+            case "refuse-nameless" -> write(out, REFUSAL_WITHOUT_ID);
+            case "after-refusal" -> write(out, refusal("id-1") + whole(200, id, "ran"));
+            case "after-nameless-refusal" -> write(out, REFUSAL_WITHOUT_ID + whole(200, id, "ran"));
             case "late" -> {
                 write(out, whole(200, "an-earlier-id", "not for you") + whole(200, id, "for you"));
             }
@@ -242,6 +249,11 @@
         return true;
     }
 
+    private static String refusal(String id) {
+        return "HTTP/1.1 503 Busy\r\n" + HEADERS.requestId() + ": " + id + "\r\n" + HEADERS.notRun()
+                + ": 1\r\nContent-Length: 0\r\n\r\n";
+    }
+
     /** Writes until the host closes the connection. */
     private static void writeEndlessly(OutputStream out, String begin, String more) throws IOException {
         write(out, begin);
