Answer 502 where a target sends 408, 429 or 503 without stating that the request did not run

Related path of the repeated refusal: only the statement (or 421) means that a request has not run, but these statuses promise it to callers. A target that ran a request and answered with one of them, or whose refusal lost the statement, made the host pass the promise on. The three cases of the test got the target's status before.

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -41,6 +41,9 @@
     /** Status of a target for which the request was not meant; such a request has not run. */
     private static final int MISDIRECTED_STATUS = 421;
 
+    /** Statuses by which callers are promised that a request has not run and never will. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, MISDIRECTED_STATUS, 429, 503);
+
     /** Idle time that no connection reaches. */
     private static final Duration UNLIMITED_IDLE = Duration.ofDays(1);
 
@@ -298,6 +301,11 @@
                 logEnd("status " + status, ending);
                 mayHaveRun = true;
                 startAttempt();
+            } else if (NOT_RUN_STATUSES.contains(status)) {
+                received.body().release();
+                logEnd("status " + status + " without the statement that the request did not run", ending);
+                mayHaveRun = true;
+                refuse(Refusal.of(Reason.LOST), admitted.team());
             } else {
                 forwardResponse(target, received, context.time().nanos() - startNanos, load);
             }
@@ -426,7 +434,7 @@
         if (finished) {
             return;
         }
-        boolean notRun = refusal.status() == 503 || refusal.status() == 429;
+        boolean notRun = NOT_RUN_STATUSES.contains(refusal.status());
         Reason reason = mayHaveRun && notRun ? Reason.LOST : refusal.reason();
         logLine(reason.outcome() == Outcome.NOT_RUN ? LineKind.REFUSED : LineKind.FAILED)
                 .put("reason", reason.name())
--- a/daemon/src/test/java/org/knapweedhatch/front/RepeatedRefusalTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/RepeatedRefusalTest.java
@@ -3,13 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.knapweedhatch.message.HeaderScheme;
 
-/** Targets that send a refusal once more. */
+/** Targets that send a refusal once more, or a status that says "not run" for a request that ran. */
 class RepeatedRefusalTest {
 
     private FrontFixture front;
@@ -70,4 +72,14 @@
         }
         assertEquals(2, front.target(0).connections());
     }
+
+    /** Guards against passing on a status that promises "not run" from a target that does not state it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"unavailable", "limited", "timed-out"})
+    void statusWithoutTheStatementIsNoRefusal(String script) throws Exception {
+        FrontFixture.Response answer = front.call(post("/once/" + script, "id-1"));
+        assertEquals(502, answer.status());
+        assertEquals(Optional.empty(), answer.header(HeaderScheme.defaults().signature()));
+        assertEquals(1, front.timesSent("/once/" + script));
+    }
 }
--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -200,6 +200,9 @@
             case "refuse-nameless" -> write(out, REFUSAL_WITHOUT_ID);
             case "after-refusal" -> write(out, refusal("id-1") + whole(200, id, "ran"));
             case "after-nameless-refusal" -> write(out, REFUSAL_WITHOUT_ID + whole(200, id, "ran"));
+            case "unavailable" -> write(out, whole(503, id, "ran"));
+            case "limited" -> write(out, whole(429, id, "ran"));
+            case "timed-out" -> write(out, whole(408, id, "ran"));
             case "late" -> {
                 write(out, whole(200, "an-earlier-id", "not for you") + whole(200, id, "for you"));
             }
