Test responses that break off at every byte of their head and body

Report of another operator: a target stopped in the middle of its head and closed, and callers got a 200 with an empty or short body. It cannot happen on this host: the decoder marks a head that ends with its connection as failed, and 502 is the answer for every prefix of a response with a length and of a head without one. The tests passed at once; they stay.

--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -177,6 +177,11 @@
             write(out, "HTTP/1.1 503 Busy\r\n" + HEADERS.notRun() + ": 1\r\nContent-Length: 0\r\n\r\n");
             return true;
         }
+        if (script.startsWith("cut-at-")) {
+            String answer = script.endsWith("-unframed") ? unframed(id) : whole(200, id, "hello");
+            write(out, answer.substring(0, Integer.parseInt(script.split("-")[2])));
+            return false;
+        }
         switch (script) {
             case "hold" -> hold(caller, out, id, request);
             case "wait" -> {
@@ -252,6 +257,11 @@
         return true;
     }
 
+    /** Returns a response whose body ends with the connection. */
+    static String unframed(String id) {
+        return whole(200, id, "hello").replaceFirst("Content-Length: \\d+\r\n", "");
+    }
+
     private static String refusal(String id) {
         return "HTTP/1.1 503 Busy\r\n" + HEADERS.requestId() + ": " + id + "\r\n" + HEADERS.notRun()
                 + ": 1\r\nContent-Length: 0\r\n\r\n";
@@ -285,7 +295,7 @@
         write(out, whole(200, id, request.path()));
     }
 
-    private static String whole(int status, String id, String body) {
+    static String whole(int status, String id, String body) {
         return "HTTP/1.1 " + status + " S\r\n" + HEADERS.requestId() + ": " + id + "\r\n" + HEADERS.signature()
                 + ": signed\r\n" + HEADERS.load() + ": 1,0,5\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
