End connections with requests always in progress while the host leaves

Cause: the close was announced only on an answer with no request behind it. Evidence: a line `cut`, added first, shows 18 or 19 requests taken in by each cut connection since the host began to leave, 2 or 3 in progress, no unsent bytes. Requests of before the signal, and slow readers, are ruled out by that.

From the first answer that it writes while leaving, a connection takes in no more, and its last answer announces the close; then input is read for 1 s more, as a close with unread input resets the connection. A connection opened after the signal has 250 ms for its first request; it was closed within 50 ms.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -72,7 +72,7 @@
     /** Part of the time to stop that is kept for the end of the process itself. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(400);
 
-    /** Idle connections are closed so long after the directory stopped naming this host. */
+    /** Connections are drained so long after the directory stopped naming this host. */
     private static final Duration GIVE_BACK = Duration.ofMillis(1_000);
 
     /** Pause after a change of the store in a small fleet; longer in a large one, which has more of them. */
@@ -494,7 +494,7 @@
                 server.stopAccepting();
             }
             if (time.since(begun).compareTo(GIVE_BACK) >= 0) {
-                server.closeIdle();
+                server.drainConnections();
             }
         }
         int cut = server.openConnections();
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -3,10 +3,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpContent;
@@ -21,12 +23,15 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.knapweedhatch.answer.Reason;
 import org.knapweedhatch.answer.Refusal;
+import org.knapweedhatch.log.LineKind;
 import org.knapweedhatch.world.CallerLimits;
 
 /**
@@ -45,6 +50,15 @@
      */
     private static final Duration POLL_VALIDITY = Duration.ofMillis(50);
 
+    /** A caller's next request may be on its way for so long after the connection was opened or used. */
+    private static final Duration MIN_IDLE_BEFORE_CLOSE = Duration.ofMillis(250);
+
+    /**
+     * How long input is still read after the last response: closing with unread input resets the connection, and the
+     * caller might lose that response.
+     */
+    private static final Duration LINGER = Duration.ofSeconds(1);
+
     private final FrontServer server;
     private final CallerLimits limits;
     private final Deque<CallerRequest> pending = new ArrayDeque<>();
@@ -52,11 +66,14 @@
     private CallerRequest receiving;
     private boolean inputIgnored;
     private boolean closeAfterRequest;
+    private boolean closedByCaller;
+    private boolean lingering;
     private final long acceptDelayNanos;
     private long lastActiveNanos;
     private long lastPollNanos;
     private long headStartNanos;
     private boolean headStarted;
+    private int requestsWhileDraining;
 
     CallerConnection(FrontServer server) {
         this.server = server;
@@ -107,6 +124,9 @@
         lastActiveNanos = server.context().time().nanos();
         CallerRequest request = new CallerRequest(server, this, head);
         pending.addLast(request);
+        if (server.context().draining()) {
+            requestsWhileDraining++;
+        }
         if (head.decoderResult().isFailure()) {
             reject(request, head.decoderResult().cause());
             return;
@@ -124,6 +144,7 @@
         }
         if (!HttpUtil.isKeepAlive(head)) {
             closeAfterRequest = true;
+            closedByCaller = true;
         }
         if (pending.size() >= MAX_PIPELINED) {
             context.channel().config().setAutoRead(false);
@@ -178,12 +199,17 @@
      * Returns whether the caller has closed the connection; reads pending input first unless that was done recently.
      */
     private boolean callerDisconnected() {
+        if (server.context().time().nanos() - lastPollNanos >= POLL_VALIDITY.toNanos()) {
+            readPendingInput();
+        }
+        return !context.channel().isOpen();
+    }
+
+    private void readPendingInput() {
         Channel channel = context.channel();
-        boolean looked = server.context().time().nanos() - lastPollNanos < POLL_VALIDITY.toNanos();
-        if (!looked && channel.isOpen() && channel.unsafe() instanceof NioUnsafe unsafe) {
+        if (channel.isOpen() && channel.unsafe() instanceof NioUnsafe unsafe) {
             unsafe.read();
         }
-        return !channel.isOpen();
     }
 
     /** Records that all pending input of the caller has been read. */
@@ -225,17 +251,61 @@
         if (!isHead) {
             HttpUtil.setContentLength(message, body.readableBytes());
         }
+        if (server.context().draining()) {
+            stopReceiving();
+        }
         boolean last = pending.isEmpty() && receiving == null;
-        boolean close = last && (inputIgnored || server.context().draining() && !headStarted);
-        if (close) {
-            inputIgnored = true;
+        if (last && inputIgnored) {
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            context.write(message).addListener(ChannelFutureListener.CLOSE);
+            ChannelFuture written = context.write(message);
+            if (closedByCaller) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            } else {
+                written.addListener(this::closeAfterInput);
+            }
         } else {
             context.write(message);
         }
     }
 
+    /**
+     * Takes in no request behind the ones received so far, so that the connection ends with their responses. Callers
+     * send requests behind a response with {@code Connection: close} again elsewhere.
+     */
+    private void stopReceiving() {
+        if (receiving == null && !headStarted) {
+            inputIgnored = true;
+        } else {
+            closeAfterRequest = true;
+        }
+    }
+
+    /** Ends the output after the last response, and closes once the caller has done so too. */
+    private void closeAfterInput(Future<?> written) {
+        if (written.isSuccess() && context.channel() instanceof SocketChannel socket) {
+            lingering = true;
+            socket.shutdownOutput();
+            context.channel().eventLoop().schedule(this::close, LINGER.toMillis(), TimeUnit.MILLISECONDS);
+        } else {
+            close();
+        }
+    }
+
+    /** Prepares the connection for the end of this process: closes it if it is idle, else after its requests. */
+    void drain() {
+        if (lingering) {
+            return;
+        }
+        if (!isIdle()) {
+            stopReceiving();
+        } else if (idleNanos() >= MIN_IDLE_BEFORE_CLOSE.toNanos()) {
+            readPendingInput();
+            if (isIdle()) {
+                close();
+            }
+        }
+    }
+
     /**
      * Closes the connection if it was idle for longer than {@code idleNanos}; answers and closes it if a head takes too
      * long to arrive.
@@ -263,6 +333,25 @@
         }
     }
 
+    /** Logs what the connection still carries when it is cut. */
+    void logCut() {
+        server.context()
+                .log()
+                .line(LineKind.CUT)
+                .put("requests", pending.size())
+                .put("oldest", pending.isEmpty() ? null : pending.peekFirst().id())
+                .put("newest", pending.isEmpty() ? null : pending.peekLast().id())
+                .put("whileLeaving", requestsWhileDraining)
+                .put(
+                        "unsentBytes",
+                        context.channel().unsafe().outboundBuffer() == null
+                                ? 0
+                                : context.channel().unsafe().outboundBuffer().totalPendingWriteBytes())
+                .put("headStarted", headStarted)
+                .putNanos("idleMs", idleNanos())
+                .write();
+    }
+
     /** Returns the time since the last request head or response, in nanoseconds. */
     long idleNanos() {
         return server.context().time().nanos() - lastActiveNanos;
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -86,6 +86,11 @@
         return head;
     }
 
+    /** Returns the id that the caller set; empty if there is none. */
+    String id() {
+        return id;
+    }
+
     /** Returns the response; empty until the request is finished. */
     Optional<Response> response() {
         return Optional.ofNullable(response);
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -208,11 +208,12 @@
         return acceptHandler.maxAcceptDelayNanos();
     }
 
-    /** Closes the connections without a request in progress; returns before that is done. */
-    public void closeIdle() {
-        loop.execute(() -> callerConnections.all().stream()
-                .filter(CallerConnection::isIdle)
-                .forEach(CallerConnection::close));
+    /**
+     * Closes idle connections, and lets the others take in no further request; returns before that is done. To be
+     * called repeatedly while this process leaves.
+     */
+    public void drainConnections() {
+        loop.execute(() -> callerConnections.all().forEach(CallerConnection::drain));
     }
 
     /** Stops accepting connections; open ones stay. */
@@ -237,9 +238,10 @@
         return loopLag.peakLagNanos();
     }
 
-    /** Stops at once and closes all connections, also those with requests in progress. */
+    /** Stops at once and closes all connections, also those with requests in progress, which are logged. */
     public void stop() {
         stopAccepting();
+        loop.execute(() -> callerConnections.all().forEach(CallerConnection::logCut));
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
@@ -0,0 +1,135 @@
+package org.knapweedhatch.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Callers' connections while their host leaves. */
+class PlannedStopTest {
+
+    /** Requests that a caller sends at most; each takes three times as long as the pause between two. */
+    private static final int MAX_REQUESTS = 60;
+
+    private static final long PAUSE_MS = 100;
+
+    private FrontFixture front;
+
+    @BeforeEach
+    void start() throws IOException {
+        front = new FrontFixture(2);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        front.close();
+    }
+
+    private static String get(String path, String id) {
+        return FrontFixture.request("GET", path, id, "", "");
+    }
+
+    /** Drains the connections and waits until that is done. */
+    private void drain() {
+        CountDownLatch drained = new CountDownLatch(1);
+        front.server().drainConnections();
+        front.server().execute(drained::countDown);
+        FrontFixture.await(drained);
+    }
+
+    private int requestsSentToTargets() {
+        return front.target(0).received().size() + front.target(1).received().size();
+    }
+
+    /** Guards against a connection with requests always in progress staying open until the host cuts it. */
+    @Test
+    void connectionOnWhichRequestsAreAlwaysInProgressEndsWithALastResponse() throws Exception {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            CompletableFuture<Void> sender = CompletableFuture.runAsync(() -> sendUntilClosed(caller));
+            assertEquals(200, caller.read().status());
+            front.leave();
+            int answered = 1;
+            FrontFixture.Response response = caller.read();
+            while (response.status() == 200 && response.header("Connection").isEmpty() && answered < MAX_REQUESTS) {
+                answered++;
+                response = caller.read();
+            }
+            assertEquals(200, response.status(), "cut off after " + answered + " responses");
+            assertEquals(Optional.of("close"), response.header("Connection"));
+            assertFalse(sender.isDone(), "the connection ended only when the caller sent no more");
+            assertTrue(caller.isClosedByServer());
+            assertEquals(answered + 1, requestsSentToTargets());
+            caller.close();
+            sender.join();
+        }
+    }
+
+    private static void sendUntilClosed(FrontFixture.Caller caller) {
+        try {
+            for (int i = 0; i < MAX_REQUESTS; i++) {
+                caller.send(get("/safe/" + i + "/wait", "id-" + i));
+                FrontFixture.sleep(PAUSE_MS);
+            }
+        } catch (IOException e) {
+            // The connection was closed.
+        }
+    }
+
+    /** Guards against requests being sent on after a drain began, which the end of the process would cut off. */
+    @Test
+    void requestBehindTheOnesInProgressIsNotTakenDuringADrain() throws Exception {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(get("/safe/hold", "id-1"));
+            FrontFixture.await("sent", () -> front.timesSent("/safe/hold") == 1);
+            front.leave();
+            drain();
+            caller.send(get("/safe/late", "id-2"));
+            FrontFixture.sleep(PAUSE_MS);
+            front.target(0).release();
+            front.target(1).release();
+            FrontFixture.Response last = caller.read();
+            assertEquals(200, last.status());
+            assertEquals(Optional.of("close"), last.header("Connection"));
+            // Input behind the last response must not reset the connection, or the caller could lose that response.
+            caller.send(get("/safe/later", "id-3"));
+            FrontFixture.sleep(PAUSE_MS);
+            caller.send(get("/safe/latest", "id-4"));
+            assertTrue(caller.isClosedByServer());
+        }
+        assertEquals(1, requestsSentToTargets());
+    }
+
+    /** Guards against closing a connection that was just opened, whose first request is on its way. */
+    @Test
+    void connectionThatWasJustOpenedIsNotClosedByADrain() throws Exception {
+        front.leave();
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            FrontFixture.await("accepted", () -> front.server().openConnections() == 1);
+            drain();
+            FrontFixture.sleep(PAUSE_MS);
+            caller.send(get("/safe/1", "id-1"));
+            assertEquals(200, caller.read().status());
+        }
+    }
+
+    /** Guards against idle connections staying open, for which a leaving host waits. */
+    @Test
+    void idleConnectionIsClosedByADrain() throws Exception {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(get("/safe/1", "id-1"));
+            assertEquals(200, caller.read().status());
+            front.leave();
+            FrontFixture.await("closed", () -> {
+                front.server().drainConnections();
+                return front.server().openConnections() == 0;
+            });
+        }
+    }
+}
