Count a connection as idle only when its response has left the process

Slow readers got 3.7 of 6 MB of an answer and then the end of the connection, from 1 s after SIGTERM on. Cause: a connection counted as idle as soon as its answer had been handed to the socket, and a leaving host closes idle connections. Evidence: no line `cut` for them, so it was not the end of the grace period; the ends follow the first drain.

Connections with unwritten responses are not drained, nor closed for others; one whose caller takes nothing for the idle timeout is closed. The test got 3,932,160 of 12,582,912 bytes before.

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -74,6 +75,8 @@
     private long headStartNanos;
     private boolean headStarted;
     private int requestsWhileDraining;
+    private int unwrittenResponses;
+    private long lastUnsentBytes;
 
     CallerConnection(FrontServer server) {
         this.server = server;
@@ -229,9 +232,6 @@
         }
         if (wrote) {
             lastActiveNanos = server.context().time().nanos();
-            if (isIdle()) {
-                server.callerConnections().markIdle(this);
-            }
             context.flush();
             if (pending.size() < MAX_PIPELINED) {
                 context.channel().config().setAutoRead(true);
@@ -255,16 +255,25 @@
             stopReceiving();
         }
         boolean last = pending.isEmpty() && receiving == null;
-        if (last && inputIgnored) {
+        boolean closes = last && inputIgnored;
+        if (closes) {
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            ChannelFuture written = context.write(message);
-            if (closedByCaller) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            } else {
-                written.addListener(this::closeAfterInput);
-            }
-        } else {
-            context.write(message);
+        }
+        unwrittenResponses++;
+        ChannelFuture written = context.write(message).addListener(this::responseWritten);
+        if (closes && closedByCaller) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        } else if (closes) {
+            written.addListener(this::closeAfterInput);
+        }
+    }
+
+    /** Called when a response has left this process completely, or cannot any more. */
+    private void responseWritten(Future<?> written) {
+        unwrittenResponses--;
+        if (isIdle()) {
+            lastActiveNanos = server.context().time().nanos();
+            server.callerConnections().markIdle(this);
         }
     }
 
@@ -296,9 +305,9 @@
         if (lingering) {
             return;
         }
-        if (!isIdle()) {
+        if (!pending.isEmpty() || headStarted) {
             stopReceiving();
-        } else if (idleNanos() >= MIN_IDLE_BEFORE_CLOSE.toNanos()) {
+        } else if (isIdle() && idleNanos() >= MIN_IDLE_BEFORE_CLOSE.toNanos()) {
             readPendingInput();
             if (isIdle()) {
                 close();
@@ -307,8 +316,8 @@
     }
 
     /**
-     * Closes the connection if it was idle for longer than {@code idleNanos}; answers and closes it if a head takes too
-     * long to arrive.
+     * Closes the connection if it was idle, or its caller took no part of a response, for longer than
+     * {@code idleNanos}; answers and closes it if a head takes too long to arrive.
      */
     void sweep(long nowNanos, long idleNanos) {
         if (headStarted
@@ -327,12 +336,23 @@
             }
             return;
         }
-        boolean idle = pending.isEmpty() && !headStarted;
-        if (idle && nowNanos - lastActiveNanos > idleNanos) {
+        long unsent = unsentBytes();
+        if (unsent != lastUnsentBytes) {
+            lastUnsentBytes = unsent;
+            lastActiveNanos = nowNanos;
+        }
+        boolean waiting = pending.isEmpty() && !headStarted;
+        if (waiting && nowNanos - lastActiveNanos > idleNanos) {
             context.close();
         }
     }
 
+    /** Returns the number of response bytes that the socket has not taken yet. */
+    private long unsentBytes() {
+        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
+        return unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
+    }
+
     /** Logs what the connection still carries when it is cut. */
     void logCut() {
         server.context()
@@ -342,11 +362,7 @@
                 .put("oldest", pending.isEmpty() ? null : pending.peekFirst().id())
                 .put("newest", pending.isEmpty() ? null : pending.peekLast().id())
                 .put("whileLeaving", requestsWhileDraining)
-                .put(
-                        "unsentBytes",
-                        context.channel().unsafe().outboundBuffer() == null
-                                ? 0
-                                : context.channel().unsafe().outboundBuffer().totalPendingWriteBytes())
+                .put("unsentBytes", unsentBytes())
                 .put("headStarted", headStarted)
                 .putNanos("idleMs", idleNanos())
                 .write();
@@ -361,9 +377,9 @@
         return context.channel();
     }
 
-    /** Returns whether no request is in progress or being received. */
+    /** Returns whether no request is in progress or being received, and all responses have left this process. */
     boolean isIdle() {
-        return pending.isEmpty() && !headStarted;
+        return pending.isEmpty() && !headStarted && unwrittenResponses == 0;
     }
 
     void close() {
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -150,6 +150,15 @@
                 .count();
     }
 
+    /** Returns the number of requests answered with success, also those that their callers have not read yet. */
+    long requestsAnswered() {
+        return metrics.scrape()
+                .lines()
+                .filter(line -> line.startsWith("knapweedhatch_request_seconds_count{outcome=\"2xx\""))
+                .mapToLong(line -> (long) Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+                .sum();
+    }
+
     FrontServer server() {
         return server;
     }
--- a/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
@@ -5,12 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.knapweedhatch.world.CallerLimits;
 
 /** Callers' connections while their host leaves. */
 class PlannedStopTest {
@@ -132,4 +134,38 @@
             });
         }
     }
+
+    /** Guards against cutting a response that a slow reader has not taken yet. */
+    @Test
+    void responseToASlowReaderIsWrittenToItsEndBeforeADrainClosesItsConnection() throws Exception {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(get("/safe/large-answer", "id-1"));
+            FrontFixture.await("answered", () -> front.requestsAnswered() == 1);
+            front.leave();
+            for (int i = 0; i < 6; i++) {
+                drain();
+                FrontFixture.sleep(PAUSE_MS);
+            }
+            FrontFixture.Response response = caller.read();
+            assertEquals(200, response.status());
+            assertEquals(ScriptedTarget.LARGE_BODY_BYTES, response.body().length());
+            // The response did not announce the close, so one more request may come.
+            caller.send(get("/safe/next", "id-2"));
+            FrontFixture.Response next = caller.read();
+            assertEquals(200, next.status());
+            assertEquals(Optional.of("close"), next.header("Connection"));
+        }
+    }
+
+    /** Guards against keeping connections for ever whose callers take nothing of their response any more. */
+    @Test
+    void connectionWhoseCallerReadsNothingIsClosedAfterTheIdleTimeout() throws Exception {
+        front.configure(builder -> builder.callerLimits(
+                new CallerLimits(16_000, 1_000_000, Duration.ofSeconds(1), Duration.ofMillis(200))));
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(get("/safe/large-answer", "id-1"));
+            FrontFixture.await("answered", () -> front.requestsAnswered() == 1);
+            FrontFixture.await("closed", () -> front.server().openConnections() == 0);
+        }
+    }
 }
--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -37,6 +37,9 @@
         }
     }
 
+    /** More than the socket buffers between host and caller hold. */
+    static final int LARGE_BODY_BYTES = 12 << 20;
+
     private static final String REFUSAL_WITHOUT_ID =
             "HTTP/1.1 503 Busy\r\n" + HEADERS.notRun() + ": 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -241,6 +244,7 @@
                 Thread.sleep(50);
                 writeEndlessly(out, "", "\r\n");
             }
+            case "large-answer" -> write(out, whole(200, id, "a".repeat(LARGE_BODY_BYTES)));
             case "garbage" -> {
                 write(out, "\u0001\u0002 this is no answer\r\n\r\n");
                 return false;
