--- a/core/src/main/java/org/knapweedhatch/world/Address.java
+++ b/core/src/main/java/org/knapweedhatch/world/Address.java
@@ -1,6 +1,7 @@
 package org.knapweedhatch.world;
 
 import java.net.InetSocketAddress;
+import java.util.regex.Pattern;
 import org.knapweedhatch.helper.Validate;
 
 /**
@@ -12,6 +13,11 @@
 public record Address(String ip, int port) {
     private static final int MAX_PORT = 65_535;
 
+    private static final String OCTET = "(?:25[0-5]|2[0-4]\\d|1?\\d?\\d)";
+
+    /** An IPv4 address, or something in brackets that only IPv6 has; nothing that would be looked up as a host name. */
+    private static final Pattern IP = Pattern.compile("(?:" + OCTET + "\\.){3}" + OCTET + "|\\[[0-9a-fA-F:.]+]");
+
     public Address {
         Validate.notEmpty(ip, "ip");
         Validate.isTrue(port > 0 && port <= MAX_PORT, "port out of range: %d", port);
@@ -26,7 +32,7 @@
         int colon = text.lastIndexOf(':');
         Validate.isTrue(colon > 0, "address must have the form ip:port: %s", text);
         String ip = text.substring(0, colon);
-        Validate.isTrue(ip.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]"), "not an IP address: %s", ip);
+        Validate.isTrue(IP.matcher(ip).matches(), "not an IP address: %s", ip);
         try {
             return new Address(ip, Integer.parseInt(text.substring(colon + 1)));
         } catch (NumberFormatException e) {
