Use a target no more once its entry cannot be read

A changed entry that named no target was ignored, and the registration that it had replaced stayed in use up to the next list. Such an entry names no target to use: the registration ends as with a removed entry, and comes back with a sound one.

--- a/daemon/src/main/java/org/knapweedhatch/store/StoreCache.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreCache.java
@@ -191,7 +191,7 @@
         switch (kind) {
             case CONFIGURATION -> newer.changed().forEach(this::applyConfiguration);
             case TARGETS -> {
-                newer.changed().forEach(entry -> decode(entry).ifPresent(targets::register));
+                newer.changed().forEach(this::applyTarget);
                 newer.deleted().forEach(name -> targets.unregister(TargetEntry.nameOf(name)));
             }
             default -> applyEvacuations(held.get(kind).listing());
@@ -255,6 +255,11 @@
         targets.configure(next);
     }
 
+    /** Registers the target of an entry; an entry that names none ends the registration that it had before. */
+    private void applyTarget(StoredObject entry) {
+        decode(entry).ifPresentOrElse(targets::register, () -> targets.unregister(TargetEntry.nameOf(entry.name())));
+    }
+
     private Optional<Registration> decode(StoredObject entry) {
         Result<Registration> decoded = TargetEntry.decode(entry);
         if (decoded.isOk()) {
--- a/daemon/src/test/java/org/knapweedhatch/store/StoreCacheTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/StoreCacheTest.java
@@ -76,6 +76,18 @@
         assertTrue(cache.complete());
     }
 
+    /** Guards against sending requests to a target whose entry another writer has overwritten. */
+    @Test
+    void targetWhoseEntryBecomesUnreadableIsUsedNoMore() {
+        list(ObjectKind.CONFIGURATION, 3, configuration(2, 1));
+        list(ObjectKind.TARGETS, 3, target("i-1", 2, "lima-a"), target("i-2", 3, "lima-a"));
+        assertEquals(List.of("i-1", "i-2"), openTargets().stream().sorted().toList());
+        change(ObjectKind.TARGETS, 4, List.of(object(TargetEntry.PREFIX + "i-2", 4, "{no entry")), List.of());
+        assertEquals(List.of("i-1"), openTargets());
+        change(ObjectKind.TARGETS, 5, List.of(target("i-2", 5, "lima-a")), List.of());
+        assertEquals(List.of("i-1", "i-2"), openTargets().stream().sorted().toList());
+    }
+
     @Test
     void evacuatedDomainIsClosedAndColdAfterItsReturn() {
         list(ObjectKind.CONFIGURATION, 3, configuration(2, 1));
