Keep following the store after an exception of what applies its objects

Related path of the odd entry: an exception of the cache would have ended the thread that follows a kind of object, and its host would have kept what it knew for ever, with no line in its log. It counts as a failed call now, and the objects are listed again. No entry is known that causes such an exception.

--- a/daemon/src/main/java/org/knapweedhatch/store/StoreWatcher.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreWatcher.java
@@ -7,6 +7,7 @@
 import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.fault.Fault;
 import org.knapweedhatch.fault.Result;
+import org.knapweedhatch.fault.Step;
 import org.knapweedhatch.fleet.BackOff;
 import org.knapweedhatch.platform.Changes;
 import org.knapweedhatch.platform.Listing;
@@ -94,17 +95,27 @@
     @Override
     public void run() {
         while (!stopped && !Thread.currentThread().isInterrupted()) {
-            boolean watches = active.getAsBoolean();
-            if (!listed && (watches || listener.asOf() == 0)) {
-                list();
-            } else if (watches) {
-                watch();
-            } else {
-                WAITER.pause(INACTIVE_PAUSE);
+            try {
+                listOrWatch();
+            } catch (RuntimeException e) {
+                // The thread must not end: nothing else follows these objects.
+                listed = false;
+                handleFailure(Fault.at(Step.PLATFORM, prefix, "what the store holds could not be applied: " + e));
             }
         }
     }
 
+    private void listOrWatch() {
+        boolean watches = active.getAsBoolean();
+        if (!listed && (watches || listener.asOf() == 0)) {
+            list();
+        } else if (watches) {
+            watch();
+        } else {
+            WAITER.pause(INACTIVE_PAUSE);
+        }
+    }
+
     private void list() {
         Result<Listing> listing = api.listing(prefix);
         if (!listing.isOk()) {
--- a/daemon/src/test/java/org/knapweedhatch/store/StoreWatcherTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/StoreWatcherTest.java
@@ -34,6 +34,7 @@
     private static final class RecordingListener implements StoreWatcher.Listener {
         private final Set<String> names = new TreeSet<>();
         private volatile long known;
+        private volatile boolean broken;
         private final LinkedBlockingQueue<String> events = new LinkedBlockingQueue<>();
 
         @Override
@@ -45,6 +46,10 @@
 
         @Override
         public void changed(Changes changes) {
+            if (broken) {
+                broken = false;
+                throw new IllegalStateException("broken");
+            }
             changes.changed().forEach(object -> names.add(object.name()));
             names.removeAll(changes.deleted());
             events.add("changed " + names);
@@ -95,6 +100,18 @@
         recorder.await("changed []");
     }
 
+    /** Guards against a watcher that ends, so that its host never hears of a change again. */
+    @Test
+    void watcherGoesOnAfterAnExceptionOfItsListener() throws InterruptedException {
+        recorder.await("listed []");
+        recorder.broken = true;
+        create("a");
+        recorder.await("failed");
+        recorder.await("listed [things/a]");
+        create("b");
+        recorder.await("changed [things/a, things/b]");
+    }
+
     @Test
     void changesDuringAnOutageAreListedAfterIt() throws InterruptedException {
         recorder.await("listed []");
