--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -19,6 +19,7 @@
 import org.knapweedhatch.front.FrontContext;
 import org.knapweedhatch.front.FrontServer;
 import org.knapweedhatch.front.RequestMetrics;
+import org.knapweedhatch.front.StopSchedule;
 import org.knapweedhatch.helper.Validate;
 import org.knapweedhatch.http.HttpCaller;
 import org.knapweedhatch.key.KeyRing;
@@ -69,12 +70,6 @@
  */
 public final class FrontHost implements FrontContext, PlacerContext {
 
-    /** Part of the time to stop that is kept for the end of the process itself. */
-    private static final Duration STOP_MARGIN = Duration.ofMillis(400);
-
-    /** Connections are drained so long after the directory stopped naming this host. */
-    private static final Duration GIVE_BACK = Duration.ofMillis(1_000);
-
     /** Pause after a change of the store in a small fleet; longer in a large one, which has more of them. */
     private static final Duration BATCH_DELAY = Duration.ofMillis(50);
 
@@ -114,7 +109,7 @@
     private final HostRegistry registry;
     private volatile DeploymentLimits terms;
     private volatile HostDirectory directory;
-    private volatile boolean leaving;
+    private volatile Optional<StopSchedule> stop = Optional.empty();
     private volatile boolean started;
     private volatile MembershipView view;
     private volatile TeamHolders holders = TeamHolders.everyHost();
@@ -279,7 +274,7 @@
 
     /** Callers are let in once their requests can be answered; until then they turn to other hosts. */
     private void listenOnceReady() {
-        if (listening || leaving || !beliefs.complete()) {
+        if (listening || stop.isPresent() || !beliefs.complete()) {
             return;
         }
         listening = true;
@@ -402,7 +397,7 @@
 
     /** Returns whether this host takes requests. */
     public boolean ready() {
-        return listening && beliefs.complete() && !leaving;
+        return listening && beliefs.complete() && stop.isEmpty();
     }
 
     @Override
@@ -471,8 +466,8 @@
     }
 
     @Override
-    public boolean draining() {
-        return leaving;
+    public Optional<StopSchedule> stop() {
+        return stop;
     }
 
     /**
@@ -480,34 +475,32 @@
      * all that is done or its time is over.
      */
     public void leave() {
-        long begun = time.nanos();
-        leaving = true;
+        StopSchedule schedule = StopSchedule.begin(terms.stopGrace(), time);
+        stop = Optional.of(schedule);
         log.line(LineKind.PROCESS).put("outcome", "leaving").write();
         peers.leave();
-        Duration longest = terms.stopGrace().minus(STOP_MARGIN);
-        Duration accepting = terms.stopGrace().dividedBy(2);
         boolean accepts = true;
-        while (time.since(begun).compareTo(longest) < 0 && (accepts || server.openConnections() > 0)) {
+        while (!schedule.untilCut().isNegative() && (accepts || server.openConnections() > 0)) {
             Waiter.blocking().pause(POLL);
-            if (accepts && time.since(begun).compareTo(accepting) >= 0) {
+            if (accepts && !schedule.acceptsConnections()) {
                 accepts = false;
                 server.stopAccepting();
             }
-            if (time.since(begun).compareTo(GIVE_BACK) >= 0) {
+            if (schedule.drainsConnections()) {
                 server.drainConnections();
             }
         }
         int cut = server.openConnections();
-        stop();
+        shutDown();
         log.line(LineKind.PROCESS)
                 .put("outcome", "stopped")
                 .put("cutConnections", cut)
-                .putNanos("tookMs", time.nanos() - begun)
+                .putNanos("tookMs", schedule.elapsed().toNanos())
                 .write();
     }
 
     /** Stops at once; requests in progress are cut. */
-    public void stop() {
+    public void shutDown() {
         feeds.forEach(StoreWatcher::stop);
         registry.stop();
         server.stop();
--- a/daemon/src/main/java/org/knapweedhatch/daemon/Rehearsal.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/Rehearsal.java
@@ -85,7 +85,7 @@
         call(addresses.get(2), DirectoryAnswer.READY_PATH, "GET", "");
         call(addresses.get(3), DirectoryAnswer.LOOK_UP_PATH + "?" + DirectoryAnswer.DOMAIN + "=" + DOMAIN, "GET", "");
         call(addresses.get(4), "/-/metrics", "GET", "");
-        running.stop();
+        running.shutDown();
         log.close();
     }
 
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -127,7 +127,7 @@
         lastActiveNanos = server.context().time().nanos();
         CallerRequest request = new CallerRequest(server, this, head);
         pending.addLast(request);
-        if (server.context().draining()) {
+        if (server.context().stop().isPresent()) {
             requestsWhileDraining++;
         }
         if (head.decoderResult().isFailure()) {
@@ -251,7 +251,7 @@
         if (!isHead) {
             HttpUtil.setContentLength(message, body.readableBytes());
         }
-        if (server.context().draining()) {
+        if (server.context().stop().isPresent()) {
             stopReceiving();
         }
         boolean last = pending.isEmpty() && receiving == null;
@@ -353,8 +353,9 @@
         return unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
     }
 
-    /** Logs what the connection still carries when it is cut. */
+    /** Logs what the connection and each of its requests still wait for when it is cut. */
     void logCut() {
+        pending.forEach(CallerRequest::logCut);
         server.context()
                 .log()
                 .line(LineKind.CUT)
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -469,6 +469,24 @@
                 .put("configuration", context.configuration().number());
     }
 
+    /** Logs how far the request has come when its connection is cut. */
+    void logCut() {
+        EventLog.Line line = logLine(LineKind.CUT)
+                .put("sent", attemptsSent)
+                .put("answered", finished)
+                .putNanos(
+                        "leavingMs",
+                        context.stop()
+                                .map(StopSchedule::elapsed)
+                                .orElse(Duration.ZERO)
+                                .toNanos());
+        if (attempt != null) {
+            line.put("target", attempt.target.name())
+                    .putNanos("targetMs", context.time().nanos() - attempt.startNanos);
+        }
+        line.write();
+    }
+
     private void complete(Response completed) {
         response = completed;
         finish();
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
@@ -1,5 +1,6 @@
 package org.knapweedhatch.front;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.key.KeyRing;
@@ -51,6 +52,6 @@
     /** Counts the first attempt of a request to a service, which adds to its retry budget. */
     void countFirstAttempt(String service);
 
-    /** Returns whether the host is about to stop, so that it closes connections after their last response. */
-    boolean draining();
+    /** Returns the planned stop in progress; empty while the host serves. */
+    Optional<StopSchedule> stop();
 }
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -71,7 +71,7 @@
     private final Address address;
     private volatile Configuration configuration = Configuration.empty();
     private volatile KeyRing keys = KeyRing.empty();
-    private volatile boolean leaving;
+    private volatile Optional<StopSchedule> stop = Optional.empty();
     volatile Optional<RateLimitExceeded> spent = Optional.empty();
     /** Decision on all requests of the team, perhaps still open; null to decide by {@link #spent}. */
     volatile CompletableFuture<RateDecision> rateDecision;
@@ -164,7 +164,11 @@
     }
 
     void leave() {
-        leaving = true;
+        leave(DeploymentLimits.standard().stopGrace());
+    }
+
+    void leave(Duration grace) {
+        stop = Optional.of(StopSchedule.begin(grace, time));
     }
 
     @Override
@@ -363,8 +367,8 @@
     }
 
     @Override
-    public boolean draining() {
-        return leaving;
+    public Optional<StopSchedule> stop() {
+        return stop;
     }
 
     @Override
