Leave to other hosts what a stopping host could not finish

Callers saw long look-ups end without an answer 5.7 s after SIGTERM of their host.

Cause: a host that leaves accepts connections for half of the grace period, but nothing compared the time that a request takes with what was left of the stop. A connection opened in the first half may carry its first request later, and any request may take longer than the rest. A retry was not compared either.

Now a request that is read in the second half is refused at once as not run, with Retry-After 0, as other hosts take it; before, targets count only if even a slow request (four mean deviations above the mean) would end before the cut. The choice is ServicePool's, for retries too.

Tests, failing before: PlannedStopTest requestInTheSecondHalfOfAStopIsRefusedAsNotRun (200 instead of 503) and requestThatUsuallyOutlastsTheRestOfAStopIsRefusedAsNotRun (the same); PlacerTest.requestThatMightOutlastAStopIsLeftToOtherHosts is new.

--- a/core/src/main/java/org/knapweedhatch/place/Candidate.java
+++ b/core/src/main/java/org/knapweedhatch/place/Candidate.java
@@ -16,10 +16,17 @@
  * @param inFlight requests in progress at the target, as far as this host knows
  * @param queueWaitNanos forecast of how long the request waits at the target before processing starts
  * @param expectedNanos forecast of the time until the response arrives at this host
+ * @param slowNanos the same for a slow request
  * @param lastResort whether the target is cold, failing or being probed
  */
 record Candidate(
-        TargetState state, int rank, int inFlight, double queueWaitNanos, double expectedNanos, boolean lastResort) {
+        TargetState state,
+        int rank,
+        int inFlight,
+        double queueWaitNanos,
+        double expectedNanos,
+        double slowNanos,
+        boolean lastResort) {
 
     /** Number of targets that should cache an object: one for normal load, one for when the first is busy. */
     static final int PREFERRED_TARGETS = 2;
--- a/core/src/main/java/org/knapweedhatch/place/Placement.java
+++ b/core/src/main/java/org/knapweedhatch/place/Placement.java
@@ -29,6 +29,8 @@
         /** No target is open that may handle the request and was not tried yet. */
         NO_TARGET,
         /** No target is expected to answer soon enough, or none may take another request now. */
-        BUSY
+        BUSY,
+        /** No target is certain enough to answer before this host stops; another host may still send the request. */
+        STOPPING
     }
 }
--- a/core/src/main/java/org/knapweedhatch/place/PlacementRequest.java
+++ b/core/src/main/java/org/knapweedhatch/place/PlacementRequest.java
@@ -1,6 +1,7 @@
 package org.knapweedhatch.place;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import org.knapweedhatch.helper.Validate;
 
@@ -15,6 +16,7 @@
  * @param triedTargets names of the targets to which it was already sent
  * @param untilLatencyTarget time left until the route's latency target passes; negative once it has
  * @param untilDeadline time left until the request deadline
+ * @param untilCut time left until the host, which is stopping, cuts what runs; empty while it serves
  */
 public record PlacementRequest(
         String service,
@@ -24,7 +26,8 @@
         Set<String> allowedRegions,
         Set<String> triedTargets,
         Duration untilLatencyTarget,
-        Duration untilDeadline) {
+        Duration untilDeadline,
+        Optional<Duration> untilCut) {
 
     /** Validates the components and copies the sets. */
     public PlacementRequest {
@@ -35,6 +38,26 @@
         triedTargets = Set.copyOf(triedTargets);
         Validate.notNull(untilLatencyTarget, "untilLatencyTarget");
         Validate.notNull(untilDeadline, "untilDeadline");
+        Validate.notNull(untilCut, "untilCut");
+    }
+
+    /** Returns this request on a host that cuts what runs after a time. */
+    PlacementRequest untilCut(Duration left) {
+        return new PlacementRequest(
+                service,
+                object,
+                requestId,
+                bodyBytes,
+                allowedRegions,
+                triedTargets,
+                untilLatencyTarget,
+                untilDeadline,
+                Optional.of(left));
+    }
+
+    /** Returns whether a response that takes a time at most comes before the host cuts what runs. */
+    boolean endsBeforeCut(double nanos) {
+        return untilCut.isEmpty() || nanos <= untilCut.get().toNanos();
     }
 
     /** Returns the key that orders the targets: the object, or the request id if there is no object. */
--- a/core/src/main/java/org/knapweedhatch/place/ProcessingTimes.java
+++ b/core/src/main/java/org/knapweedhatch/place/ProcessingTimes.java
@@ -20,11 +20,19 @@
     /** Assumed ratio of warm to cold processing time until a warm one has been measured. */
     private static final double ASSUMED_WARM_FACTOR = 0.5;
 
+    /** Mean deviations above the mean that few requests exceed; the factor of TCP's retransmission timeout. */
+    private static final double SLOW_DEVIATIONS = 4;
+
     private double warmNanos;
     private double coldNanos;
+    private double deviationNanos;
 
     /** Records the processing time of one request. */
     void add(boolean warm, long nanos) {
+        double mean = warm ? warmNanos : coldNanos;
+        if (mean > 0) {
+            deviationNanos += SMOOTHING * (Math.abs(nanos - mean) - deviationNanos);
+        }
         if (warm) {
             warmNanos = smoothed(warmNanos, nanos);
         } else {
@@ -44,6 +52,11 @@
         return coldNanos > 0 ? coldNanos : INITIAL_NANOS;
     }
 
+    /** Returns by how much a slow request exceeds the mean, in nanoseconds. */
+    double slowExcessNanos() {
+        return SLOW_DEVIATIONS * deviationNanos;
+    }
+
     /** Returns the mean time of a typical request, in nanoseconds; most requests are for warm objects. */
     double typicalNanos() {
         return warmNanos > 0 ? warmNanos : meanNanos(false);
--- a/core/src/main/java/org/knapweedhatch/place/ServicePool.java
+++ b/core/src/main/java/org/knapweedhatch/place/ServicePool.java
@@ -105,7 +105,12 @@
         if (usable.isEmpty()) {
             return new Placement.Refused(Cause.NO_TARGET, NO_TARGET_RETRY_AFTER);
         }
-        List<Candidate> candidates = candidates(request, targetsOfServingRegion(request, usable), now);
+        List<Candidate> candidates = candidates(request, targetsOfServingRegion(request, usable), now).stream()
+                .filter(candidate -> request.endsBeforeCut(candidate.slowNanos()))
+                .toList();
+        if (candidates.isEmpty()) {
+            return new Placement.Refused(Cause.STOPPING, Duration.ZERO);
+        }
         for (Candidate candidate : inPreferenceOrder(request, candidates)) {
             if (admitsIfCold(candidate.state(), now)) {
                 candidate.state().requestSent();
@@ -224,7 +229,8 @@
         double own = cold ? processingTimes.meanNanos(false) * COLD_WORK_FACTOR : processingTimes.meanNanos(cached);
         double forecast = wait + own * slowdown + context.roundTripNanos(state.domain(), state.region());
         boolean lastResort = cold || state.health().avoided(now);
-        return new Candidate(state, rank, inFlight, wait, forecast, lastResort);
+        double slow = forecast + processingTimes.slowExcessNanos() * slowdown;
+        return new Candidate(state, rank, inFlight, wait, forecast, slow, lastResort);
     }
 
     private int inFlight(TargetState state) {
--- a/core/src/test/java/org/knapweedhatch/place/PlacementSimulation.java
+++ b/core/src/test/java/org/knapweedhatch/place/PlacementSimulation.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -322,7 +323,8 @@
                     Set.of(),
                     triedTargets,
                     Duration.ofNanos(profile.latencyTargetNanos() - (now - arrivalNanos)),
-                    Duration.ofNanos(deadlineNanos - now));
+                    Duration.ofNanos(deadlineNanos - now),
+                    Optional.empty());
             Placement placement = host.placer.place(request);
             if (placement instanceof Placement.Refused refused) {
                 schedule(CLIENT_LATENCY_NANOS, () -> caller.refused(refused.retryAfter()));
--- a/core/src/test/java/org/knapweedhatch/place/PlacerFixture.java
+++ b/core/src/test/java/org/knapweedhatch/place/PlacerFixture.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.knapweedhatch.clock.ManualTime;
 import org.knapweedhatch.clock.TimeSource;
@@ -55,7 +56,15 @@
 
     static PlacementRequest request(String object, Set<String> regions, Set<String> tried) {
         return new PlacementRequest(
-                SERVICE, object, "id-" + object, 0, regions, tried, Duration.ofMillis(250), Duration.ofSeconds(1));
+                SERVICE,
+                object,
+                "id-" + object,
+                0,
+                regions,
+                tried,
+                Duration.ofMillis(250),
+                Duration.ofSeconds(1),
+                Optional.empty());
     }
 
     Placement.Sent send(PlacementRequest request) {
--- a/core/src/test/java/org/knapweedhatch/place/PlacerTest.java
+++ b/core/src/test/java/org/knapweedhatch/place/PlacerTest.java
@@ -62,6 +62,20 @@
                 first, host.send(PlacerFixture.request("object-1")).target().name());
     }
 
+    /** Guards against sending a request that takes longer than the host has until it cuts what runs. */
+    @Test
+    void requestThatMightOutlastAStopIsLeftToOtherHosts() {
+        fourTargets();
+        for (int i = 0; i < 40; i++) {
+            host.serve(PlacerFixture.request("object-1"), Duration.ofMillis(i % 2 == 0 ? 200 : 100));
+        }
+        PlacementRequest request = PlacerFixture.request("object-1");
+        Placement late = host.placer.place(request.untilCut(Duration.ofMillis(200)));
+        assertEquals(new Placement.Refused(Placement.Cause.STOPPING, Duration.ZERO), late);
+        assertInstanceOf(Placement.Sent.class, host.placer.place(request.untilCut(Duration.ofMillis(700))));
+        assertInstanceOf(Placement.Sent.class, host.placer.place(request));
+    }
+
     @Test
     void refusesWithRetryAfterWhenNoAnswerCanMeetTheDeadline() {
         host.target("t0", "lima-a", 1);
--- a/daemon/src/main/java/org/knapweedhatch/front/Admission.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/Admission.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
@@ -22,6 +23,9 @@
 /** Determines the route, team and service of a request, or why it is refused; the team's rate is checked apart. */
 final class Admission {
 
+    /** Refusal of what this host could not finish before it stops; other hosts take the request at once. */
+    static final Refusal LEAVING = Refusal.of(Reason.LEAVING).retryAfter(Duration.ZERO);
+
     private final FrontContext context;
     private final DestinationSelector destinations = new DestinationSelector();
 
@@ -47,6 +51,9 @@
     record Refused(Refusal refusal, String team) implements Decision {}
 
     Decision decide(HttpRequest request) {
+        if (context.stop().filter(stop -> !stop.takesRequests()).isPresent()) {
+            return new Refused(LEAVING, "");
+        }
         Configuration configuration = context.configuration();
         if (configuration.number() == 0) {
             return refused(Reason.NO_CONFIGURATION, "");
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -203,7 +203,8 @@
                 admitted.regions(),
                 triedTargets,
                 latencyBudget,
-                left);
+                left,
+                context.stop().map(StopSchedule::untilCut));
     }
 
     private String affinityKey() {
@@ -213,9 +214,13 @@
     }
 
     private void refusePlacement(Placement.Refused refused) {
-        Reason reason = refused.cause() == Placement.Cause.BUSY ? Reason.BUSY : Reason.NO_TARGET;
         refundIfUnsent();
-        refuse(Refusal.of(reason).retryAfter(refused.retryAfter()), admitted.team());
+        Refusal refusal = switch (refused.cause()) {
+            case BUSY -> Refusal.of(Reason.BUSY).retryAfter(refused.retryAfter());
+            case NO_TARGET -> Refusal.of(Reason.NO_TARGET).retryAfter(refused.retryAfter());
+            case STOPPING -> Admission.LEAVING;
+        };
+        refuse(refusal, admitted.team());
     }
 
     private void refundIfUnsent() {
--- a/daemon/src/main/java/org/knapweedhatch/front/StopSchedule.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/StopSchedule.java
@@ -45,6 +45,14 @@
         return elapsed().compareTo(grace.dividedBy(2)) < 0;
     }
 
+    /**
+     * Returns whether requests may be sent to targets. Later ones are refused, since little time is left for them and
+     * other hosts serve.
+     */
+    public boolean takesRequests() {
+        return acceptsConnections();
+    }
+
     /** Returns whether connections are closed as soon as they are idle. */
     public boolean drainsConnections() {
         return elapsed().compareTo(DRAIN_DELAY) >= 0;
--- a/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
@@ -121,6 +121,43 @@
         }
     }
 
+    /** Guards against sending on a request that the end of the stop would cut, though its connection is open. */
+    @Test
+    void requestInTheSecondHalfOfAStopIsRefusedAsNotRun() throws Exception {
+        try (FrontFixture.Caller caller = front.new Caller();
+                FrontFixture.Caller other = front.new Caller()) {
+            front.leave(Duration.ofMillis(2 * PAUSE_MS));
+            FrontFixture.sleep(2 * PAUSE_MS);
+            caller.send(get("/safe/late", "id-1"));
+            assertRefusedForOtherHosts(caller);
+            other.send(FrontFixture.request("POST", "/once/late", "id-2", "", "body"));
+            assertRefusedForOtherHosts(other);
+        }
+        assertEquals(0, requestsSentToTargets());
+    }
+
+    /** Guards against sending on a request that usually takes longer than what is left of the stop. */
+    @Test
+    void requestThatUsuallyOutlastsTheRestOfAStopIsRefusedAsNotRun() throws Exception {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            for (int i = 0; i < 3; i++) {
+                caller.send(get("/safe/" + i + "/wait", "id-" + i));
+                assertEquals(200, caller.read().status());
+            }
+            front.leave(Duration.ofMillis(700));
+            caller.send(get("/safe/late/wait", "id-late"));
+            assertRefusedForOtherHosts(caller);
+        }
+        assertEquals(0, front.timesSent("/safe/late/wait"));
+    }
+
+    private static void assertRefusedForOtherHosts(FrontFixture.Caller caller) throws IOException {
+        FrontFixture.Response refusal = caller.read();
+        assertEquals(503, refusal.status());
+        assertEquals(Optional.of("0.000"), refusal.header("Retry-After"));
+        assertEquals(Optional.of("close"), refusal.header("Connection"));
+    }
+
     /** Guards against idle connections staying open, for which a leaving host waits. */
     @Test
     void idleConnectionIsClosedByADrain() throws Exception {
