Answer what is in progress when a host ends, and what is ready behind it

Callers of pipelined look-ups got no answer though their target had answered: the response waited behind one that was not ready, and the end of the stop closed the connection. A request in progress got no answer either, so its caller had to take the closed connection for one.

Cause: FrontServer.stop closed all connections as they were.

Now each request in progress ends with 502 (it may have run) or 503 (it was not sent), responses go out in their order, the last announces the close, and callers have 200 ms to read them. stopAccepting waits for the listener to close, so that a connection accepted last counts when the host looks for open ones.

Test, failing before (status 0 instead of 502, that is a closed connection): PlannedStopTest.responsesBehindOneThatIsNotReadyAreWrittenAtTheEndOfAStop.

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -28,6 +28,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.knapweedhatch.answer.Reason;
@@ -353,9 +354,18 @@
         return unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
     }
 
-    /** Logs what the connection and each of its requests still wait for when it is cut. */
+    /**
+     * Ends the requests in progress as the host stops, so that each has a response and those behind it that are ready
+     * are written too. The connection closes after the last one.
+     */
+    void abortRequests() {
+        receiving = null;
+        inputIgnored = true;
+        List.copyOf(pending).forEach(CallerRequest::abort);
+    }
+
+    /** Logs what the connection still carries when it is cut. */
     void logCut() {
-        pending.forEach(CallerRequest::logCut);
         server.context()
                 .log()
                 .line(LineKind.CUT)
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -408,18 +408,27 @@
 
     /** Ends a request whose deadline has passed. */
     private void onDeadline() {
-        if (finished) {
-            return;
+        if (!finished) {
+            end(AttemptOutcome.TIMED_OUT, Reason.LATE, Refusal.of(Reason.BUSY).retryAfter(DEFAULT_RETRY_AFTER));
+        }
+    }
+
+    /** Ends a request that is in progress when the host stops. */
+    void abort() {
+        if (!finished) {
+            logCut();
+            end(AttemptOutcome.CANCELLED, Reason.LOST, Admission.LEAVING);
         }
+    }
+
+    /** Ends a request without a target's response, for one of two reasons by whether a target may have run it. */
+    private void end(AttemptOutcome ending, Reason mayHaveRunReason, Refusal notRun) {
         boolean inProgress = attempt != null && attempt.isSendStarted();
         if (attempt != null) {
-            attempt.cancel(AttemptOutcome.TIMED_OUT);
-        }
-        if (inProgress || mayHaveRun) {
-            refuse(Refusal.of(Reason.LATE), admitted.team());
-        } else {
-            refuse(Refusal.of(Reason.BUSY).retryAfter(DEFAULT_RETRY_AFTER), admitted.team());
+            attempt.cancel(ending);
         }
+        Refusal refusal = inProgress || mayHaveRun ? Refusal.of(mayHaveRunReason) : notRun;
+        refuse(refusal, admitted == null ? "" : admitted.team());
     }
 
     private void forwardResponse(KnownTarget target, TargetResponse received, long targetNanos, Optional<String> load) {
@@ -474,11 +483,10 @@
                 .put("configuration", context.configuration().number());
     }
 
-    /** Logs how far the request has come when its connection is cut. */
-    void logCut() {
+    /** Logs how far the request has come when the end of a stop cuts it. */
+    private void logCut() {
         EventLog.Line line = logLine(LineKind.CUT)
                 .put("sent", attemptsSent)
-                .put("answered", finished)
                 .putNanos(
                         "leavingMs",
                         context.stop()
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.Collectors;
+import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.log.LineKind;
 import org.knapweedhatch.target.KnownTarget;
 import org.knapweedhatch.world.Address;
@@ -54,6 +55,11 @@
     /** Connections of each kind that are closed after a failed accept: more than arrive until the next retry. */
     private static final int EVICTIONS_PER_ACCEPT_FAILURE = 32;
 
+    /** Time for the last responses to reach their callers; several round trips between regions. */
+    private static final Duration LAST_RESPONSES = Duration.ofMillis(200);
+
+    private static final Duration LAST_RESPONSES_POLL = Duration.ofMillis(5);
+
     private final FrontContext context;
     private final ChannelFactory<? extends ServerChannel> listenerFactory;
     private final EventLoopGroup loops =
@@ -216,10 +222,10 @@
         loop.execute(() -> callerConnections.all().forEach(CallerConnection::drain));
     }
 
-    /** Stops accepting connections; open ones stay. */
+    /** Stops accepting connections and waits until that is done; open ones stay. */
     public void stopAccepting() {
         if (listener != null) {
-            listener.close();
+            listener.close().awaitUninterruptibly();
         }
     }
 
@@ -238,9 +244,21 @@
         return loopLag.peakLagNanos();
     }
 
-    /** Stops at once and closes all connections, also those with requests in progress, which are logged. */
+    /**
+     * Stops at once: ends the requests in progress with a response, gives the callers a moment to read it, and closes
+     * all connections. Those that are still open then are logged. A second call does nothing.
+     */
     public void stop() {
+        if (loops.isShuttingDown()) {
+            return;
+        }
         stopAccepting();
+        long start = context.time().nanos();
+        loop.submit(() -> callerConnections.all().forEach(CallerConnection::abortRequests))
+                .awaitUninterruptibly();
+        while (openConnections() > 0 && context.time().since(start).compareTo(LAST_RESPONSES) < 0) {
+            Waiter.blocking().pause(LAST_RESPONSES_POLL);
+        }
         loop.execute(() -> callerConnections.all().forEach(CallerConnection::logCut));
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
--- a/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
@@ -151,6 +151,25 @@
         assertEquals(0, front.timesSent("/safe/late/wait"));
     }
 
+    /** Guards against losing a ready response behind one that does not come before the host ends. */
+    @Test
+    void responsesBehindOneThatIsNotReadyAreWrittenAtTheEndOfAStop() throws Exception {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(get("/safe/hold", "id-1") + get("/safe/2", "id-2") + get("/safe/hold", "id-3"));
+            FrontFixture.await("answered", () -> front.requestsAnswered() == 1 && front.timesSent("/safe/hold") == 2);
+            front.leave();
+            front.server().stop();
+            assertEquals(502, caller.read().status());
+            FrontFixture.Response ready = caller.read();
+            assertEquals(200, ready.status());
+            assertEquals(Optional.empty(), ready.header("Connection"));
+            FrontFixture.Response last = caller.read();
+            assertEquals(502, last.status());
+            assertEquals(Optional.of("close"), last.header("Connection"));
+            assertTrue(caller.isClosedByServer());
+        }
+    }
+
     private static void assertRefusedForOtherHosts(FrontFixture.Caller caller) throws IOException {
         FrontFixture.Response refusal = caller.read();
         assertEquals(503, refusal.status());
