Pass on a target's failure where the retry brings no response

Cause: the response of a target that failed was dropped before the retry began. Where the retry was refused, shed, cut or too late, nothing was left to pass on.

The failed response is now kept until the retry brings one, and passed on otherwise.

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -65,6 +65,11 @@
     private Attempt attempt;
     private int attemptsSent;
     private boolean mayHaveRun;
+    /** Response of a target that failed, passed on if no retry brings another one. */
+    private TargetResponse failedResponse;
+
+    private KnownTarget failedTarget;
+    private long failedTargetNanos;
     private boolean callerDisconnected;
     private boolean finished;
     private Response response;
@@ -296,8 +301,6 @@
                 received.body().release();
                 return;
             }
-            Optional<String> load = Optional.ofNullable(
-                    received.headers().get(context.headerScheme().load()));
             int status = received.status().code();
             boolean notRun = connection.isNotRun(status, received.headers());
             AttemptOutcome ending = endingOf(status, notRun);
@@ -307,9 +310,9 @@
                 logEnd("status " + status, ending);
                 retryOrRefuse(false);
             } else if (ending == AttemptOutcome.FAILED && kind().mayRepeat() && mayRetry(true)) {
-                received.body().release();
                 logEnd("status " + status, ending);
                 mayHaveRun = true;
+                keepFailedResponse(target, received, context.time().nanos() - startNanos);
                 startAttempt();
             } else if (NOT_RUN_STATUSES.contains(status)) {
                 received.body().release();
@@ -317,7 +320,7 @@
                 mayHaveRun = true;
                 refuse(Refusal.of(Reason.LOST), admitted.team());
             } else {
-                forwardResponse(target, received, context.time().nanos() - startNanos, load);
+                forwardResponse(target, received, context.time().nanos() - startNanos);
             }
         }
 
@@ -431,15 +434,30 @@
         refuse(refusal, admitted == null ? "" : admitted.team());
     }
 
-    private void forwardResponse(KnownTarget target, TargetResponse received, long targetNanos, Optional<String> load) {
+    private void keepFailedResponse(KnownTarget target, TargetResponse received, long targetNanos) {
+        releaseFailedResponse();
+        failedResponse = received;
+        failedTarget = target;
+        failedTargetNanos = targetNanos;
+    }
+
+    private void releaseFailedResponse() {
+        if (failedResponse != null) {
+            failedResponse.body().release();
+            failedResponse = null;
+        }
+    }
+
+    private void forwardResponse(KnownTarget target, TargetResponse received, long targetNanos) {
         if (finished) {
             received.body().release();
             return;
         }
+        String load = received.headers().get(context.headerScheme().load());
         logLine(LineKind.ANSWERED)
                 .put("status", received.status().code())
                 .put("target", target.name())
-                .put("load", load.orElse(null))
+                .put("load", load)
                 .putNanos("targetMs", targetNanos)
                 .write();
         HttpHeaders headers = server.headerFilter().toCaller(received.headers());
@@ -448,11 +466,20 @@
         complete(new Response(received.status().code(), headers, received.body()));
     }
 
-    /** Ends the request with an error response; {@code team} is logged if the request was not admitted. */
+    /**
+     * Ends the request with the response of a target that failed, if there is one, else with an error response; {@code
+     * team} is logged if the request was not admitted.
+     */
     void refuse(Refusal refusal, String team) {
         if (finished) {
             return;
         }
+        if (failedResponse != null) {
+            TargetResponse kept = failedResponse;
+            failedResponse = null;
+            forwardResponse(failedTarget, kept, failedTargetNanos);
+            return;
+        }
         boolean notRun = NOT_RUN_STATUSES.contains(refusal.status());
         Reason reason = mayHaveRun && notRun ? Reason.LOST : refusal.reason();
         logLine(reason.outcome() == Outcome.NOT_RUN ? LineKind.REFUSED : LineKind.FAILED)
@@ -511,6 +538,7 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
+        releaseFailedResponse();
         body.release();
     }
 
--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -191,6 +191,15 @@
                 Thread.sleep(300);
                 write(out, whole(200, id, request.path()));
             }
+            case "error-then-shed" -> {
+                write(out, timesReceived(request.path()) == 1 ? whole(500, id, "failed") : refusal(id));
+            }
+            case "error-then-drop" -> {
+                if (timesReceived(request.path()) > 1) {
+                    return false;
+                }
+                write(out, whole(500, id, "failed"));
+            }
             case "error" -> write(out, whole(500, id, "failed"));
             case "misdirected" -> write(out, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
             case "twice" -> write(out, whole(200, id, "first") + whole(200, id, "second"));
@@ -261,6 +270,10 @@
         return true;
     }
 
+    private long timesReceived(String path) {
+        return received.stream().filter(request -> request.path().equals(path)).count();
+    }
+
     /** Returns a response whose body ends with the connection. */
     static String unframed(String id) {
         return whole(200, id, "hello").replaceFirst("Content-Length: \\d+\r\n", "");
