End a stopping host within its grace period

Hosts with requests in progress at the end of a stop outlasted the grace period of 6 s, and were killed before their last log lines and their goodbye to other hosts.

Cause: 400 ms were kept for the end, but the goodbye alone waits 300 ms, and it came after the callers' connections and before the pages, the store and the log (up to 100 ms).

The goodbye now runs beside the last responses, pages and the store are left to the end of the process, the log's writer is woken, and 600 ms are kept (an eighth of the grace period if that is less, so that the cut stays in its last sixth).

Tests: StopScheduleTest; PlannedStopSoakTest.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -472,7 +472,7 @@
 
     /**
      * Stops as planned: out of the directory at once, then no new connections, then the end of what runs. Blocks until
-     * all that is done or its time is over.
+     * all that is done or its time is over; the process is to end then, since pages and calls to the store stay open.
      */
     public void leave() {
         StopSchedule schedule = StopSchedule.begin(terms.stopGrace(), time);
@@ -491,7 +491,7 @@
             }
         }
         int cut = server.openConnections();
-        shutDown();
+        endTraffic();
         log.line(LineKind.PROCESS)
                 .put("outcome", "stopped")
                 .put("cutConnections", cut)
@@ -501,11 +501,17 @@
 
     /** Stops at once; requests in progress are cut. */
     public void shutDown() {
+        endTraffic();
+        pages.stop();
+        caller.close();
+    }
+
+    /** Ends callers' requests and, meanwhile, says goodbye to the other hosts. */
+    private void endTraffic() {
         feeds.forEach(StoreWatcher::stop);
         registry.stop();
+        CompletableFuture<Void> goodbye = CompletableFuture.runAsync(peers::stop);
         server.stop();
-        peers.stop();
-        pages.stop();
-        caller.close();
+        goodbye.join();
     }
 }
--- a/daemon/src/main/java/org/knapweedhatch/front/StopSchedule.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/StopSchedule.java
@@ -14,8 +14,11 @@
  */
 public final class StopSchedule {
 
-    /** Part of the grace period that is kept for the end of the process itself. */
-    private static final Duration END_MARGIN = Duration.ofMillis(400);
+    /** Time at the end that is kept for the last responses, the goodbye to other hosts and the last log lines. */
+    private static final Duration END_MARGIN = Duration.ofMillis(600);
+
+    /** The margin is at most this fraction of a short grace period. */
+    private static final int END_FRACTION = 8;
 
     /** Connections are drained so long after the directory stopped naming the host. */
     private static final Duration DRAIN_DELAY = Duration.ofMillis(1_000);
@@ -60,6 +63,8 @@
 
     /** Returns the time until requests in progress are cut; negative once it has passed. */
     public Duration untilCut() {
-        return grace.minus(END_MARGIN).minus(elapsed());
+        Duration fraction = grace.dividedBy(END_FRACTION);
+        Duration margin = fraction.compareTo(END_MARGIN) < 0 ? fraction : END_MARGIN;
+        return grace.minus(margin).minus(elapsed());
     }
 }
--- a/daemon/src/main/java/org/knapweedhatch/log/EventLog.java
+++ b/daemon/src/main/java/org/knapweedhatch/log/EventLog.java
@@ -134,6 +134,8 @@
     @Override
     public void close() {
         closed = true;
+        // Wakes the writer, which otherwise waits for a line.
+        queue.offer(new byte[0]);
         try {
             writer.join(TimeUnit.SECONDS.toMillis(1));
         } catch (InterruptedException e) {
--- a/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
@@ -144,7 +144,8 @@
                 caller.send(get("/safe/" + i + "/wait", "id-" + i));
                 assertEquals(200, caller.read().status());
             }
-            front.leave(Duration.ofMillis(700));
+            front.leave(Duration.ofMillis(350));
+            FrontFixture.sleep(PAUSE_MS);
             caller.send(get("/safe/late/wait", "id-late"));
             assertRefusedForOtherHosts(caller);
         }
