Bound the memory of all responses together

A target that sent without end, in many small chunks or on many connections, took the memory of the host, and requests of other callers ended with it.

Cause: each response was bounded (16 MiB), all together were not; and every chunk was kept as a part of the buffer that it was received in, with objects of its own, so a body of one-byte chunks took many times its size.

Parts are now copied into a growing buffer whose memory counts in a budget, half of the heap's limit, until the response has been written. When it is used up, the largest response in progress is given up (BROKEN, so retried or answered with 502); a small one is not. Metric knapweedhatch_response_bytes.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -76,6 +76,9 @@
     /** The same on hosts that another host of their failure domain tells of changes. */
     private static final Duration SECOND_WATCHER_DELAY = Duration.ofSeconds(1);
 
+    /** Fraction of the heap's limit, which is the default limit of direct memory too, that responses may take. */
+    private static final int RESPONSE_MEMORY_FRACTION = 2;
+
     /** The goodbye to other hosts begins so long before requests are cut, since it takes this time. */
     private static final Duration GOODBYE = Duration.ofMillis(400);
 
@@ -212,6 +215,10 @@
                 "target_protocol_errors",
                 "Connections closed for a protocol error of their target since the start",
                 server::targetProtocolErrors);
+        metrics.gauge(
+                "response_bytes",
+                "Bytes that the bodies of responses hold, until they have been written",
+                server::responseBytes);
         metrics.gauge("log_lines", "Log lines written since the start", log::written);
         metrics.gauge("log_lines_dropped", "Log lines left out since the start", log::dropped);
         metrics.gauge(
@@ -423,6 +430,11 @@
         return ConnectionLimits.of(settings.descriptors());
     }
 
+    @Override
+    public long responseMemory() {
+        return Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_FRACTION;
+    }
+
     @Override
     public HeaderScheme headerScheme() {
         return PlatformHeaders.scheme();
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
@@ -25,6 +25,9 @@
     /** Returns how many connections the host may keep open. */
     ConnectionLimits connectionLimits();
 
+    /** Returns how many bytes the bodies of responses may hold in memory together. */
+    long responseMemory();
+
     /** Returns the names of the headers that the system defines. */
     HeaderScheme headerScheme();
 
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -68,6 +68,7 @@
     private final Admission admission;
     private final HeaderFilter headerFilter;
     private final TargetConnectionPool targetConnections;
+    private final MemoryBudget responseMemory;
     private final OpenConnections<CallerConnection> callerConnections;
     private final EventLoopLag loopLag;
     private final AcceptHandler acceptHandler;
@@ -81,13 +82,15 @@
         callerConnections = OpenConnections.of(context.connectionLimits().callerConnections());
         loopLag = new EventLoopLag(context.time(), context.log());
         acceptHandler = new AcceptHandler(context.time(), context.log(), this::evictIdleConnections);
+        responseMemory = MemoryBudget.of(context.responseMemory());
         headerFilter = HeaderFilter.of(context.headerScheme());
         targetConnections = new TargetConnectionPool(
                 loop,
                 context.headerScheme(),
                 context.time(),
                 context.log(),
-                context.connectionLimits().idleTargetConnections());
+                context.connectionLimits().idleTargetConnections(),
+                responseMemory);
     }
 
     /** Creates a server that does not listen yet. */
@@ -209,6 +212,11 @@
         return targetConnections.protocolErrors();
     }
 
+    /** Returns how many bytes the bodies of responses hold, from their first byte until they have been written. */
+    public long responseBytes() {
+        return responseMemory.used();
+    }
+
     /** Returns the longest time that a connection accepted now may have waited, in nanoseconds. */
     long maxAcceptDelayNanos() {
         return acceptHandler.maxAcceptDelayNanos();
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnection.java
@@ -1,8 +1,6 @@
 package org.knapweedhatch.front;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -73,11 +71,12 @@
 
     private final HeaderScheme scheme;
     private final Owner owner;
+    private final ResponseBodies bodies;
     private ChannelHandlerContext context;
     private TargetRequest request;
     private Listener listener;
     private HttpResponse head;
-    private CompositeByteBuf body;
+    private BufferedBody body;
     private long bytesReceived;
     private int informationalResponses;
     private int requestsSent;
@@ -91,9 +90,10 @@
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
     private long idleSinceNanos;
 
-    TargetConnection(HeaderScheme scheme, Owner owner) {
+    TargetConnection(HeaderScheme scheme, Owner owner, ResponseBodies bodies) {
         this.scheme = scheme;
         this.owner = owner;
+        this.bodies = bodies;
     }
 
     @Override
@@ -248,7 +248,7 @@
         skipping = !matchesRequest(response);
         if (!skipping) {
             head = response;
-            body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+            body = bodies.begin(this, context.alloc());
         }
     }
 
@@ -291,11 +291,13 @@
         }
         ByteBuf bytes = content.content();
         if (bytes.isReadable()) {
-            body.addComponent(true, bytes.retain());
-            if (body.readableBytes() > MAX_RESPONSE_BYTES) {
+            if (body.readableBytes() + bytes.readableBytes() > MAX_RESPONSE_BYTES) {
                 failProtocol("the response body is larger than " + MAX_RESPONSE_BYTES + " bytes");
                 return;
             }
+            if (!bodies.append(this, body, bytes)) {
+                return;
+            }
         }
         if (last) {
             responseRead = true;
@@ -319,6 +321,7 @@
         keepAlive = keepAliveOf(head.headers());
         TargetResponse response = new TargetResponse(head.status(), head.headers(), body);
         Listener receiver = listener;
+        bodies.end(this);
         head = null;
         body = null;
         request = null;
@@ -395,8 +398,19 @@
         }
     }
 
+    /** Returns the number of body bytes of the response that is being received. */
+    int bufferedBytes() {
+        return body == null ? 0 : body.readableBytes();
+    }
+
+    /** Gives up the response that is being received, so that others have the memory of its body. */
+    void giveUpBody() {
+        fail("the memory for responses is used up, and this one is the largest");
+    }
+
     private void releaseBody() {
         if (body != null) {
+            bodies.end(this);
             body.release();
             body = null;
             head = null;
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnectionPool.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnectionPool.java
@@ -55,8 +55,16 @@
     private final LongAdder protocolErrors = new LongAdder();
     private final Map<Endpoint, Deque<TargetConnection>> idleByEndpoint = new HashMap<>();
     private final OpenConnections<TargetConnection> allIdle;
-
-    TargetConnectionPool(EventLoop loop, HeaderScheme scheme, TimeSource time, EventLog log, int maxIdleConnections) {
+    private final ResponseBodies bodies;
+
+    TargetConnectionPool(
+            EventLoop loop,
+            HeaderScheme scheme,
+            TimeSource time,
+            EventLog log,
+            int maxIdleConnections,
+            MemoryBudget memory) {
+        bodies = ResponseBodies.of(memory);
         allIdle = OpenConnections.of(maxIdleConnections);
         this.loop = loop;
         this.scheme = scheme;
@@ -87,7 +95,7 @@
     }
 
     private void open(Endpoint endpoint, ConnectionListener listener) {
-        TargetConnection connection = new TargetConnection(scheme, new EndpointPool(endpoint));
+        TargetConnection connection = new TargetConnection(scheme, new EndpointPool(endpoint), bodies);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
--- a/daemon/src/test/java/org/knapweedhatch/front/EndlessResponsesTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/EndlessResponsesTest.java
@@ -4,7 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -53,6 +57,32 @@
         awaitClosedSince(start);
     }
 
+    /** Guards against endless responses on several connections taking the memory of all others. */
+    @Test
+    void endlessResponsesTogetherKeepToTheMemoryForResponses() throws Exception {
+        List<CompletableFuture<Integer>> endless = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            String request = FrontFixture.request("POST", "/once/endless-body", "id-" + i, "", "body");
+            endless.add(CompletableFuture.supplyAsync(() -> {
+                try {
+                    return front.call(request).status();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }));
+        }
+        for (CompletableFuture<Integer> one : endless) {
+            while (!one.isDone()) {
+                long held = front.server().responseBytes();
+                assertTrue(held <= FrontFixture.RESPONSE_MEMORY, held + " bytes held");
+                FrontFixture.sleep(1);
+            }
+            assertEquals(502, one.join());
+        }
+        assertEquals(200, front.call("POST", "/once/1").status());
+        FrontFixture.await("released", () -> front.server().responseBytes() == 0);
+    }
+
     @Test
     void endlessBytesAfterACompleteResponseCloseTheConnection() throws Exception {
         long start = System.nanoTime();
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -56,6 +56,9 @@
 final class FrontFixture implements FrontContext, PlacerContext, AutoCloseable {
 
     static final String KEY = "secret-key-1";
+    /** Room for two of the largest responses, whose buffers may be larger than what they hold. */
+    static final long RESPONSE_MEMORY = 48 << 20;
+
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
     private final TimeSource time = TimeSource.system();
@@ -317,6 +320,11 @@
         return connectionLimits;
     }
 
+    @Override
+    public long responseMemory() {
+        return RESPONSE_MEMORY;
+    }
+
     @Override
     public HeaderScheme headerScheme() {
         return HeaderScheme.defaults();
