--- a/core/src/main/java/org/knapweedhatch/place/ProcessingTimes.java
+++ b/core/src/main/java/org/knapweedhatch/place/ProcessingTimes.java
@@ -20,7 +20,7 @@
     /** Assumed ratio of warm to cold processing time until a warm one has been measured. */
     private static final double ASSUMED_WARM_FACTOR = 0.5;
 
-    /** Mean deviations above the mean that few requests exceed; the factor of TCP's retransmission timeout. */
+    /** Mean deviations above the mean that few requests exceed. */
     private static final double SLOW_DEVIATIONS = 4;
 
     private double warmNanos;
--- a/daemon/src/test/java/org/knapweedhatch/soak/Tried.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CallerAttempt.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /** One attempt of a caller, as the caller and the targets saw it; thread-safe. */
-final class Tried {
+final class CallerAttempt {
 
     private static final long NANOS_PER_MS = 1_000_000;
 
@@ -32,7 +32,7 @@
     private long endNanos;
     private int status;
 
-    Tried(String id, String host, boolean mayRepeat, Duration timeout) {
+    CallerAttempt(String id, String host, boolean mayRepeat, Duration timeout) {
         this.id = id;
         this.host = host;
         this.mayRepeat = mayRepeat;
--- a/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
@@ -58,7 +58,7 @@
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     private Path folder;
 
-    private final Map<String, Tried> tried = new ConcurrentHashMap<>();
+    private final Map<String, CallerAttempt> attempts = new ConcurrentHashMap<>();
     private final List<String> broken = new CopyOnWriteArrayList<>();
     private final AtomicBoolean calls = new AtomicBoolean(true);
     private final HeaderScheme scheme = PlatformHeaders.scheme();
@@ -86,7 +86,7 @@
         try (PlatformStandIn store = PlatformStandIn.start("127.0.0.1", 0, "", platform)) {
             configure(platform);
             for (int i = 0; i < 4 * hostCount; i++) {
-                WorkingTarget target = new WorkingTarget("i-" + i, SLOTS, scheme, tried);
+                WorkingTarget target = new WorkingTarget("i-" + i, SLOTS, scheme, attempts);
                 targets.add(target);
                 StoredObject entry = ExampleEntries.target(target.name(), 1, target.address(), "lima-a");
                 platform.create(entry.name(), entry.body());
@@ -107,7 +107,8 @@
             }
             checkRuns();
             assertEquals(List.of(), broken, describe(seed));
-            assertTrue(tried.values().stream().anyMatch(request -> request.status() == 200), "no request was answered");
+            assertTrue(
+                    attempts.values().stream().anyMatch(request -> request.status() == 200), "no request was answered");
         } finally {
             hosts.forEach(HostProcess::kill);
             for (WorkingTarget target : targets) {
@@ -139,7 +140,7 @@
                         habit,
                         random.split(),
                         hosts,
-                        tried,
+                        attempts,
                         scheme,
                         habit == SoakCaller.Habit.LONG || habit == SoakCaller.Habit.PIPELINED
                                 ? LONG_TIMEOUT
@@ -216,7 +217,7 @@
 
     /** Checks the requests at a host whose connections ended between a stop and a moment after its grace period. */
     private void checkStop(String host, long stop) {
-        tried.values().stream()
+        attempts.values().stream()
                 .filter(request -> request.host().equals(host) && request.sentNanos() > stop - LONG_TIMEOUT.toNanos())
                 .filter(request -> request.endedWithoutResponse() && !request.isTimedOut())
                 .filter(request -> request.sentNanos() > stop + EXCUSED_UNTIL_SENT.toNanos()
@@ -226,7 +227,7 @@
 
     private void checkRuns() {
         Set<Integer> notRun = Set.copyOf(Arrays.stream(NOT_RUN).boxed().toList());
-        for (Tried request : tried.values()) {
+        for (CallerAttempt request : attempts.values()) {
             if (!request.mayRepeat() && request.runs() > 1) {
                 broken.add("ran twice: " + request.describe(request.sentNanos()));
             }
--- a/daemon/src/test/java/org/knapweedhatch/soak/SoakCaller.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/SoakCaller.java
@@ -74,7 +74,7 @@
     private final Habit habit;
     private final SplittableRandom random;
     private final List<HostProcess> hosts;
-    private final Map<String, Tried> tried;
+    private final Map<String, CallerAttempt> attempts;
     private final HeaderScheme scheme;
     private final Duration timeout;
     private final BooleanSupplier goesOn;
@@ -83,14 +83,14 @@
             Habit habit,
             SplittableRandom random,
             List<HostProcess> hosts,
-            Map<String, Tried> tried,
+            Map<String, CallerAttempt> attempts,
             HeaderScheme scheme,
             Duration timeout,
             BooleanSupplier goesOn) {
         this.habit = habit;
         this.random = random;
         this.hosts = hosts;
-        this.tried = tried;
+        this.attempts = attempts;
         this.scheme = scheme;
         this.timeout = timeout;
         this.goesOn = goesOn;
@@ -112,7 +112,7 @@
 
     private void useConnection(HostProcess host, Socket socket) throws IOException {
         InputStream in = new BufferedInputStream(socket.getInputStream());
-        Deque<Tried> waiting = new ArrayDeque<>();
+        Deque<CallerAttempt> waiting = new ArrayDeque<>();
         if (random.nextBoolean()) {
             Threads.sleep(random.nextLong(MAX_AHEAD_MS));
         }
@@ -130,14 +130,14 @@
                 if (response == null) {
                     return;
                 }
-                Tried answered = waiting.pollFirst();
+                CallerAttempt answered = waiting.pollFirst();
                 if (!response.header(scheme.requestId()).equals(answered.id())) {
                     throw new IllegalStateException("the response to another request came for " + answered.id());
                 }
                 answered.ended(response.status(), System.nanoTime());
                 if (response.closes()) {
                     // What lies behind such a response counts as not read and is sent elsewhere.
-                    waiting.forEach(behind -> tried.remove(behind.id()));
+                    waiting.forEach(behind -> attempts.remove(behind.id()));
                     waiting.clear();
                     return;
                 }
@@ -151,9 +151,9 @@
         }
     }
 
-    private void send(HostProcess host, OutputStream out, Deque<Tried> waiting) throws IOException {
-        Tried next = new Tried("soak-" + IDS.incrementAndGet(), host.name(), habit.mayRepeat, timeout);
-        tried.put(next.id(), next);
+    private void send(HostProcess host, OutputStream out, Deque<CallerAttempt> waiting) throws IOException {
+        CallerAttempt next = new CallerAttempt("soak-" + IDS.incrementAndGet(), host.name(), habit.mayRepeat, timeout);
+        attempts.put(next.id(), next);
         String path = habit.mayRepeat ? ExampleEntries.REPEATABLE_PATH : ExampleEntries.ONCE_PATH;
         String head = (habit.mayRepeat ? "GET " : "POST ") + path + "x?work=" + habit.workMs(random)
                 + " HTTP/1.1\r\nHost: "
--- a/daemon/src/test/java/org/knapweedhatch/soak/WorkingTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/WorkingTarget.java
@@ -27,16 +27,16 @@
 
     private final String name;
     private final HeaderScheme scheme;
-    private final Map<String, Tried> tried;
+    private final Map<String, CallerAttempt> attempts;
     private final ServerSocket listener;
     private final Semaphore slots;
     private final AtomicInteger present = new AtomicInteger();
     private final int capacity;
 
-    WorkingTarget(String name, int slots, HeaderScheme scheme, Map<String, Tried> tried) throws IOException {
+    WorkingTarget(String name, int slots, HeaderScheme scheme, Map<String, CallerAttempt> attempts) throws IOException {
         this.name = name;
         this.scheme = scheme;
-        this.tried = tried;
+        this.attempts = attempts;
         this.slots = new Semaphore(slots, true);
         capacity = slots + QUEUE;
         listener = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
@@ -78,8 +78,8 @@
 
     private void answer(HttpText request, Socket socket, InputStream in) throws IOException, InterruptedException {
         String id = request.header(scheme.requestId());
-        Optional<Tried> known = Optional.ofNullable(tried.get(id));
-        known.ifPresent(Tried::arrived);
+        Optional<CallerAttempt> known = Optional.ofNullable(attempts.get(id));
+        known.ifPresent(CallerAttempt::arrived);
         if (present.incrementAndGet() > capacity) {
             present.decrementAndGet();
             write(socket, 503, id, scheme.notRun() + ": 1\r\n");
@@ -95,16 +95,16 @@
                 }
             }
             try {
-                known.ifPresent(request1 -> request1.started(name, System.nanoTime()));
+                known.ifPresent(attempt -> attempt.started(name, System.nanoTime()));
                 long end = System.nanoTime() + HttpText.parameter(request.path(), "work", 20) * NANOS_PER_MS;
                 while (System.nanoTime() < Math.min(end, deadline)) {
                     await(in, socket);
                 }
-                known.ifPresent(request1 -> request1.finished(name, System.nanoTime()));
+                known.ifPresent(attempt -> attempt.finished(name, System.nanoTime()));
                 write(socket, end <= deadline ? 200 : 504, id, scheme.signature() + ": s\r\n");
             } finally {
                 slots.release();
-                known.ifPresent(request1 -> request1.finished(name, System.nanoTime()));
+                known.ifPresent(attempt -> attempt.finished(name, System.nanoTime()));
             }
         } finally {
             present.decrementAndGet();
