Count a request broken off with the host's 502 as lost in the soak

Since a stopping host answers what it cuts with 502, the soak saw no more lost requests: it only looked for connections that end without a response. A 502 in place of a target that was at work now counts like a cut, with the same excuses, and a run tells whether it was completed or dropped.

--- a/daemon/src/test/java/org/knapweedhatch/soak/CallerAttempt.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CallerAttempt.java
@@ -9,11 +9,15 @@
 
     private static final long NANOS_PER_MS = 1_000_000;
 
+    /** Status of a host's response in place of one that its target may still give. */
+    private static final int LOST = 502;
+
     /** One run at a target; the end is 0 while it lasts. */
     private static final class Run {
         private final String target;
         private final long startNanos;
         private long endNanos;
+        private boolean completed;
 
         Run(String target, long startNanos) {
             this.target = target;
@@ -68,10 +72,14 @@
         runs.add(new Run(target, nanos));
     }
 
-    synchronized void finished(String target, long nanos) {
+    /** Records the end of a run: completed by the target, or dropped as the host closed its connection. */
+    synchronized void finished(String target, boolean completed, long nanos) {
         runs.stream()
                 .filter(run -> run.target.equals(target) && run.endNanos == 0)
-                .forEach(run -> run.endNanos = nanos);
+                .forEach(run -> {
+                    run.endNanos = nanos;
+                    run.completed = completed;
+                });
     }
 
     /** Records the whole response, or the end of the connection without one as status 0. */
@@ -80,10 +88,6 @@
         endNanos = nanos;
     }
 
-    synchronized boolean isOpen() {
-        return sentNanos != 0 && endNanos == 0;
-    }
-
     synchronized long sentNanos() {
         return sentNanos;
     }
@@ -96,9 +100,13 @@
         return status;
     }
 
-    /** Returns whether the connection ended without a response though a target had received the request. */
-    synchronized boolean endedWithoutResponse() {
-        return endNanos != 0 && status == 0 && arrivals > 0;
+    /**
+     * Returns whether the connection ended without a response though a target had received the request, or the host
+     * answered in place of a target that was at work.
+     */
+    synchronized boolean isLost() {
+        boolean brokenOff = status == LOST && runs.stream().anyMatch(run -> !run.completed);
+        return endNanos != 0 && (status == 0 && arrivals > 0 || brokenOff);
     }
 
     /** Returns whether the connection ended at or after the time-out of the route. */
@@ -122,7 +130,7 @@
         for (Run run : runs) {
             text.append(" [").append(run.target).append(' ').append(ms(run.startNanos, sinceNanos));
             text.append("..").append(run.endNanos == 0 ? "" : ms(run.endNanos, sinceNanos));
-            text.append(']');
+            text.append(run.completed ? "]" : " dropped]");
         }
         return text.toString();
     }
--- a/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
@@ -219,10 +219,10 @@
     private void checkStop(String host, long stop) {
         attempts.values().stream()
                 .filter(request -> request.host().equals(host) && request.sentNanos() > stop - LONG_TIMEOUT.toNanos())
-                .filter(request -> request.endedWithoutResponse() && !request.isTimedOut())
+                .filter(request -> request.isLost() && !request.isTimedOut())
                 .filter(request -> request.sentNanos() > stop + EXCUSED_UNTIL_SENT.toNanos()
                         || !request.ranBetween(stop + LAST_SIXTH.toNanos(), stop + GRACE.toNanos()))
-                .forEach(request -> broken.add("no response: " + request.describe(stop)));
+                .forEach(request -> broken.add("lost: " + request.describe(stop)));
     }
 
     private void checkRuns() {
--- a/daemon/src/test/java/org/knapweedhatch/soak/WorkingTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/WorkingTarget.java
@@ -100,11 +100,11 @@
                 while (System.nanoTime() < Math.min(end, deadline)) {
                     await(in, socket);
                 }
-                known.ifPresent(attempt -> attempt.finished(name, System.nanoTime()));
+                known.ifPresent(attempt -> attempt.finished(name, true, System.nanoTime()));
                 write(socket, end <= deadline ? 200 : 504, id, scheme.signature() + ": s\r\n");
             } finally {
                 slots.release();
-                known.ifPresent(attempt -> attempt.finished(name, System.nanoTime()));
+                known.ifPresent(attempt -> attempt.finished(name, false, System.nanoTime()));
             }
         } finally {
             present.decrementAndGet();
