--- a/daemon/src/test/java/org/knapweedhatch/soak/HostProcess.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/HostProcess.java
@@ -27,8 +27,8 @@
     private final Address edge;
     private final Address ready;
     private volatile Process process;
+    private volatile long startNanos;
     private volatile long stopNanos;
-    private volatile boolean killed;
 
     private HostProcess(String name, Path folder, Address edge, Address ready) {
         this.name = name;
@@ -104,23 +104,23 @@
         return edge;
     }
 
+    /** Returns when the process was started last, as a reading of {@link System#nanoTime}. */
+    long startNanos() {
+        return startNanos;
+    }
+
     /** Returns when the host last got SIGTERM, as a reading of {@link System#nanoTime}; 0 if it has not. */
     long stopNanos() {
         return stopNanos;
     }
 
-    /** Returns whether the host was killed since its last start. */
-    boolean isKilled() {
-        return killed;
-    }
-
     boolean isAlive() {
         return process != null && process.isAlive();
     }
 
     void start() throws IOException {
-        killed = false;
         stopNanos = 0;
+        startNanos = System.nanoTime();
         process = new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-Xmx160m",
@@ -172,7 +172,6 @@
     }
 
     void kill() {
-        killed = true;
         process.destroyForcibly();
     }
 
--- a/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
@@ -205,7 +205,7 @@
         if (stop != 0) {
             // The callers see the end of their connections a little after the process is gone.
             Threads.sleep(100);
-            checkStop(host.name(), stop);
+            checkStop(host, stop);
         }
         try {
             host.start();
@@ -215,10 +215,10 @@
         }
     }
 
-    /** Checks the requests at a host whose connections ended between a stop and a moment after its grace period. */
-    private void checkStop(String host, long stop) {
+    /** Checks the requests at the process that was stopped; those of the one before it may have ended with a kill. */
+    private void checkStop(HostProcess host, long stop) {
         attempts.values().stream()
-                .filter(request -> request.host().equals(host) && request.sentNanos() > stop - LONG_TIMEOUT.toNanos())
+                .filter(request -> request.host().equals(host.name()) && request.sentNanos() > host.startNanos())
                 .filter(request -> request.isLost() && !request.isTimedOut())
                 .filter(request -> request.sentNanos() > stop + EXCUSED_UNTIL_SENT.toNanos()
                         || !request.ranBetween(stop + LAST_SIXTH.toNanos(), stop + GRACE.toNanos()))
