Bound what clients of the project's own interface hold

Callers saw: a host answers nobody any more, /-/ready included, or its process ends, when a crowd sends heads without their end, or bodies of up to 64 KiB; when connections use up the descriptors, nobody is accepted while they stay. Cause: nothing bounded the connections of the own interface, the text of unfinished heads, or the bodies that are collected whole before a request begins; Undertow's buffers have no common bound either. Change: listen.HttpListeners serves with Undertow behind a guard for each I/O thread, which counts connections, heads, held bodies, buffers and pages, and closes the connection that moved the least of what it holds, or the one that has been silent, idle or without a complete head for longest. Its two decisions are those of the callers' port on the users' platform: MemoryBudget, MemoryReclaimer, OpenConnections and ConnectionLimits move to the package resource. Why it works: bytes are reserved before they are kept and returned when a request or connection ends, so the sum of all is a number that the guard holds below its limit.

--- a/daemon/src/main/java/org/knapweedhatch/admin/Admin.java
+++ b/daemon/src/main/java/org/knapweedhatch/admin/Admin.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.knapweedhatch.helper.Validate;
+import org.knapweedhatch.listen.RequestMemory;
 
 /**
  * The paths under {@code /-/}: status, look-up, time line, metrics, liveness and readiness.
@@ -24,6 +25,9 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** A page is held as text and as the bytes that are not yet sent. */
+    private static final int MEMORY_PER_CHARACTER = 2;
+
     /** Answers one path from the query's first values. */
     @FunctionalInterface
     public interface Page {
@@ -109,6 +113,12 @@
     }
 
     private static void reply(HttpServerExchange exchange, Reply reply) {
+        if (!RequestMemory.reserve(
+                exchange, MEMORY_PER_CHARACTER * (long) reply.body().length())) {
+            exchange.setPersistent(false);
+            exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
+            return;
+        }
         exchange.setStatusCode(reply.status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, reply.contentType());
         exchange.getResponseSender().send(reply.body(), StandardCharsets.UTF_8);
--- a/daemon/src/main/java/org/knapweedhatch/daemon/EntryHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/EntryHost.java
@@ -118,7 +118,8 @@
         fleet.addTickTask(this::checkAwake);
         fleet.addTickTask(refusals::tick);
         new Gauges(this).register(metrics);
-        edge = Edge.listen(settings.host().edge(), new AdminPages(this).pages(), this::handleWhenAwake);
+        edge = Edge.listen(settings.host().edge(), new AdminPages(this).pages(), this::handleWhenAwake, time);
+        ListenerGauges.register(metrics, "caller", edge.listeners());
         timeline.record(EventKind.STARTED, "host:" + settings.host().name(), "started");
         LOG.atInfo().log(
                 "daemon: %s listens on %s",
--- a/daemon/src/main/java/org/knapweedhatch/edge/Callers.java
+++ b/daemon/src/main/java/org/knapweedhatch/edge/Callers.java
@@ -18,6 +18,7 @@
 import org.knapweedhatch.answer.Refusal;
 import org.knapweedhatch.helper.Digests;
 import org.knapweedhatch.key.KeyCheck;
+import org.knapweedhatch.listen.RequestMemory;
 import org.knapweedhatch.message.HeaderNames;
 import org.knapweedhatch.world.Configuration;
 import org.knapweedhatch.world.Route;
@@ -28,6 +29,10 @@
 public final class Callers implements HttpHandler {
 
     private static final int MAX_HELD_BYTES = 64 * 1024;
+
+    /** A held body is collected in a buffer that doubles, and copied once. */
+    private static final int MEMORY_PER_HELD_BYTE = 3;
+
     private static final Duration NOT_READY_RETRY = Duration.ofSeconds(1);
     private static final long EXPECTED_ANSWER_BYTES = 4 * 1024;
     private static final Set<HttpString> IDEMPOTENT =
@@ -157,6 +162,9 @@
             live(exchange, head, new Body.Streamed(exchange));
         } else if (length == 0) {
             live(exchange, head, new Body.Held(new byte[0]));
+        } else if (!RequestMemory.reserve(exchange, MEMORY_PER_HELD_BYTE * length)) {
+            host.refused(team, Reason.NO_MEMORY);
+            Edge.refuseForMemory(exchange);
         } else {
             exchange.getRequestReceiver()
                     .receiveFullBytes(
--- a/daemon/src/main/java/org/knapweedhatch/front/BufferedBody.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/BufferedBody.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.CompositeByteBuf;
+import org.knapweedhatch.resource.MemoryBudget;
 
 /**
  * A body that grows while it is received, and whose memory counts in a budget until it is released.
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -34,6 +34,8 @@
 import org.knapweedhatch.answer.Reason;
 import org.knapweedhatch.answer.Refusal;
 import org.knapweedhatch.log.LineKind;
+import org.knapweedhatch.resource.MemoryBudget;
+import org.knapweedhatch.resource.MemoryReclaimer;
 import org.knapweedhatch.world.CallerLimits;
 
 /**
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontContext.java
@@ -9,6 +9,7 @@
 import org.knapweedhatch.message.HeaderScheme;
 import org.knapweedhatch.place.Placer;
 import org.knapweedhatch.quota.RateDecision;
+import org.knapweedhatch.resource.ConnectionLimits;
 import org.knapweedhatch.world.Configuration;
 
 /** The services of a host that the proxy uses to handle requests; called on the event loop of the proxy. */
--- a/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/FrontServer.java
@@ -24,6 +24,9 @@
 import org.knapweedhatch.clock.Waiter;
 import org.knapweedhatch.hedge.HedgePolicy;
 import org.knapweedhatch.log.LineKind;
+import org.knapweedhatch.resource.MemoryBudget;
+import org.knapweedhatch.resource.MemoryReclaimer;
+import org.knapweedhatch.resource.OpenConnections;
 import org.knapweedhatch.target.KnownTarget;
 import org.knapweedhatch.world.Address;
 
--- a/daemon/src/main/java/org/knapweedhatch/front/ResponseBodies.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/ResponseBodies.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.LongPredicate;
+import org.knapweedhatch.resource.MemoryBudget;
 
 /**
  * The bodies of responses that are being received, which share a memory budget.
--- a/daemon/src/main/java/org/knapweedhatch/front/TargetConnectionPool.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/TargetConnectionPool.java
@@ -22,6 +22,7 @@
 import org.knapweedhatch.log.EventLog;
 import org.knapweedhatch.log.LineKind;
 import org.knapweedhatch.message.HeaderScheme;
+import org.knapweedhatch.resource.OpenConnections;
 import org.knapweedhatch.target.KnownTarget;
 import org.knapweedhatch.world.Address;
 
--- a/daemon/src/main/java/org/knapweedhatch/front/MemoryBudget.java
+++ b/daemon/src/main/java/org/knapweedhatch/resource/MemoryBudget.java
@@ -1,4 +1,4 @@
-package org.knapweedhatch.front;
+package org.knapweedhatch.resource;
 
 import java.util.concurrent.atomic.AtomicLong;
 import org.knapweedhatch.helper.Validate;
@@ -8,10 +8,10 @@
  *
  * <p>A part is kept for holders of little, so that large bodies leave room for small requests and their responses.
  */
-final class MemoryBudget {
+public final class MemoryBudget {
 
     /** Most bytes that one holder may have of the part that is kept for small ones. */
-    static final long SMALL_BYTES = 128 << 10;
+    public static final long SMALL_BYTES = 128 << 10;
 
     /** The part kept for small holders is this fraction of the limit. */
     private static final int SMALL_FRACTION = 8;
@@ -31,7 +31,7 @@
     }
 
     /** Returns an unused budget of a number of bytes. */
-    static MemoryBudget of(long limit) {
+    public static MemoryBudget of(long limit) {
         Validate.isTrue(limit > 0, "limit must be positive");
         return new MemoryBudget(limit);
     }
@@ -41,7 +41,7 @@
      *
      * @param held bytes that the holder has reserved before
      */
-    boolean tryReserve(long bytes, long held) {
+    public boolean tryReserve(long bytes, long held) {
         long bound = held + bytes <= SMALL_BYTES ? limit : largeLimit;
         if (used.addAndGet(bytes) <= bound) {
             return true;
@@ -51,17 +51,22 @@
     }
 
     /** Returns reserved bytes. */
-    void release(long bytes) {
+    public void release(long bytes) {
         used.addAndGet(-bytes);
     }
 
     /** Returns whether so little is left that no more input of large requests should be read. */
-    boolean isScarce() {
+    public boolean isScarce() {
         return used.get() > scarceLimit;
     }
 
+    /** Returns whether that holds for a holder of some bytes: a large one that has no more than all others together. */
+    public boolean isScarceFor(long held) {
+        return held > SMALL_BYTES && isScarce() && 2 * held <= used.get();
+    }
+
     /** Returns the number of bytes reserved. */
-    long used() {
+    public long used() {
         return used.get();
     }
 }
--- a/daemon/src/main/java/org/knapweedhatch/front/MemoryReclaimer.java
+++ b/daemon/src/main/java/org/knapweedhatch/resource/MemoryReclaimer.java
@@ -1,4 +1,4 @@
-package org.knapweedhatch.front;
+package org.knapweedhatch.resource;
 
 import java.util.Collection;
 import java.util.Comparator;
@@ -23,7 +23,7 @@
  *
  * @param <H> type of a connection
  */
-final class MemoryReclaimer<H extends MemoryReclaimer.Holder> {
+public final class MemoryReclaimer<H extends MemoryReclaimer.Holder> {
 
     /** Time between two checks of those that wait; requests at targets return their memory in some hundred ms. */
     private static final long CHECK_NANOS = 100_000_000;
@@ -32,7 +32,7 @@
     private static final double STALLED_PROGRESS = 1.0 / 16;
 
     /** A connection that holds memory which it can give up. */
-    interface Holder {
+    public interface Holder {
         /** Returns how many bytes become free if the holder is dropped; 0 if it must not be. */
         long droppableBytes();
 
@@ -64,7 +64,7 @@
     }
 
     /** Returns a reclaimer for the holders that a supplier names at each use. */
-    static <H extends Holder> MemoryReclaimer<H> of(
+    public static <H extends Holder> MemoryReclaimer<H> of(
             MemoryBudget budget, Supplier<? extends Collection<H>> holders, TimeSource time) {
         return new MemoryReclaimer<>(budget, holders, time);
     }
@@ -76,7 +76,7 @@
      *
      * @param total bytes that the one which needs memory would hold with it
      */
-    boolean reclaim(long total) {
+    public boolean reclaim(long total) {
         boolean small = total <= MemoryBudget.SMALL_BYTES;
         return dropLeast(holder -> isLarge(holder) || small && isStalled(holder))
                 .isPresent();
@@ -86,13 +86,13 @@
      * Drops the same holder for a response that is being received, if it is stalled or holds at least as much as the
      * largest response.
      */
-    boolean reclaimForResponse(long largestResponse) {
+    public boolean reclaimForResponse(long largestResponse) {
         return dropLeast(holder -> isStalled(holder) || holder.droppableBytes() >= largestResponse)
                 .isPresent();
     }
 
     /** Drops and returns the same holder if it is stalled. */
-    Optional<H> reclaimStalled() {
+    public Optional<H> reclaimStalled() {
         return dropLeast(MemoryReclaimer::isStalled);
     }
 
@@ -130,17 +130,17 @@
     }
 
     /** Adds a holder that stopped reading; {@link Holder#resumeReading} is called once memory is left again. */
-    void await(H holder) {
+    public void await(H holder) {
         waiting.add(holder);
     }
 
     /** Removes a holder that no longer waits. */
-    void remove(H holder) {
+    public void remove(H holder) {
         waiting.remove(holder);
     }
 
     /** Returns the number of holders that wait for memory. */
-    int waiting() {
+    public int waiting() {
         return waiting.size();
     }
 
@@ -148,7 +148,7 @@
      * Lets those that wait read again once memory is left. Drops a holder where none was returned since the last check,
      * since all may wait for each other; not while most of it belongs to complete requests, which end by themselves.
      */
-    void tick() {
+    public void tick() {
         if (waiting.isEmpty() || time.nanos() - lastCheckNanos < CHECK_NANOS) {
             return;
         }
--- a/daemon/src/test/java/org/knapweedhatch/edge/EdgeFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/edge/EdgeFixture.java
@@ -60,7 +60,7 @@
         }
         TestHost host = TestHost.serving(edgeAddress, builder.build(1));
         ticker.scheduleAtFixedRate(host::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-        edge = Edge.listen(edgeAddress, Admin.builder().build(), Callers.of(host, host.requests()));
+        edge = Edge.listen(edgeAddress, Admin.builder().build(), Callers.of(host, host.requests()), host.time());
     }
 
     static EdgeFixture withTargets(int count) {
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontConnectionLimitsTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontConnectionLimitsTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.knapweedhatch.resource.ConnectionLimits;
 
 /** Callers open more connections than the host has file descriptors for. */
 class FrontConnectionLimitsTest {
@@ -19,7 +20,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        front = new FrontFixture(2, NioServerSocketChannel::new, new ConnectionLimits(4, 2));
+        front = new FrontFixture(2, NioServerSocketChannel::new, new ConnectionLimits(4, 2, 4, 4));
     }
 
     @AfterEach
--- a/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/FrontFixture.java
@@ -36,6 +36,7 @@
 import org.knapweedhatch.quota.RateDecision;
 import org.knapweedhatch.quota.RateLimitExceeded;
 import org.knapweedhatch.report.HostReports;
+import org.knapweedhatch.resource.ConnectionLimits;
 import org.knapweedhatch.target.KnownTarget;
 import org.knapweedhatch.world.Access;
 import org.knapweedhatch.world.Address;
--- a/daemon/src/test/java/org/knapweedhatch/front/MemoryReclaimerTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/resource/MemoryReclaimerTest.java
@@ -1,4 +1,4 @@
-package org.knapweedhatch.front;
+package org.knapweedhatch.resource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -156,4 +156,15 @@
         assertTrue(budget.tryReserve(1_000, 0));
         assertTrue(budget.isScarce());
     }
+
+    /** Guards against a body of the largest size that waits for memory which nobody else holds. */
+    @Test
+    void theOneThatHoldsMoreThanAllOthersNeverWaits() {
+        long most = LIMIT * 6 / 8;
+        assertTrue(budget.tryReserve(most, 0));
+        assertTrue(budget.tryReserve(LARGE / 2, 0));
+        assertTrue(budget.isScarce());
+        assertFalse(budget.isScarceFor(most));
+        assertTrue(budget.isScarceFor(LARGE / 2));
+    }
 }
--- a/daemon/src/test/java/org/knapweedhatch/front/OpenConnectionsTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/resource/OpenConnectionsTest.java
@@ -1,4 +1,4 @@
-package org.knapweedhatch.front;
+package org.knapweedhatch.resource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -34,6 +34,30 @@
         assertEquals(3, open.size());
     }
 
+    @Test
+    void longestIncompleteHeadIsEvictedWhereAllOthersAreInUse() {
+        open.add("a");
+        open.markInUse("a");
+        for (String name : new String[] {"b", "c"}) {
+            open.add(name);
+            open.markReceivingHead(name);
+        }
+        assertEquals(Optional.of("b"), open.add("d"));
+        open.markInUse("d");
+        assertEquals(Optional.of("c"), open.add("e"));
+    }
+
+    @Test
+    void idleConnectionIsEvictedBeforeAnIncompleteHead() {
+        open.add("a");
+        open.markReceivingHead("a");
+        open.add("b");
+        open.markInUse("b");
+        open.markIdle("b");
+        open.add("c");
+        assertEquals(Optional.of("b"), open.add("d"));
+    }
+
     @Test
     void removedConnectionDoesNotCountAndIsNotMarkedIdle() {
         open.add("a");
--- a/daemon/src/test/java/org/knapweedhatch/soak/Crowd.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/Crowd.java
@@ -11,22 +11,38 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.knapweedhatch.message.HeaderScheme;
 import org.knapweedhatch.platform.wire.ExampleEntries;
+import org.knapweedhatch.world.Address;
 
 /** Clients that send more than a host can hold, each on a connection that stays open until the crowd is closed. */
 final class Crowd implements AutoCloseable {
 
+    /** Stands for the status of a client whose connection is open without a response. */
+    static final int PENDING = -1;
+
     private static final int PIECE_BYTES = 16_384;
     private static final int CONNECT_TIMEOUT_MS = 2_000;
     private static final int SMALL_BUFFER_BYTES = 4_096;
 
-    private final HostProcess host;
-    private final HeaderScheme scheme;
+    /** Forms the head of a request without the empty line at its end. */
+    interface Heads {
+        String head(String method, String name, String id);
+
+        /** Returns the heads of requests that run once at most, with a key, on the users' platform. */
+        static Heads of(HeaderScheme scheme, String key) {
+            return (method, name, id) -> method + " " + ExampleEntries.ONCE_PATH + name + " HTTP/1.1\r\nHost: "
+                    + ExampleEntries.HOST + "\r\n" + scheme.key() + ": " + key + "\r\n" + scheme.requestId() + ": " + id
+                    + "\r\n";
+        }
+    }
+
+    private final Address address;
+    private final Heads heads;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final List<Thread> senders = new ArrayList<>();
 
-    Crowd(HostProcess host, HeaderScheme scheme) {
-        this.host = host;
-        this.scheme = scheme;
+    Crowd(Address address, Heads heads) {
+        this.address = address;
+        this.heads = heads;
     }
 
     /** Opens connections that send nothing; those that cannot be opened are left out. */
@@ -44,7 +60,7 @@
     void upload(int count, int bytes, int missing, boolean chunked) {
         byte[] piece = new byte[PIECE_BYTES];
         String framing = chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + bytes + "\r\n";
-        run(count, "upload", framing, socket -> {
+        run("POST", count, "upload", framing, "\r\n", socket -> {
             OutputStream out = socket.getOutputStream();
             for (int left = bytes - missing; left > 0; ) {
                 int next = Math.min(left, PIECE_BYTES);
@@ -64,40 +80,52 @@
         });
     }
 
+    /** Sends bodies of a size whose last bytes come one by one, with a pause before each. */
+    void trickle(int count, int bytes, int lastBytes, long pauseMs) {
+        run("POST", count, "trickle", "Content-Length: " + bytes + "\r\n", "\r\n", socket -> {
+            OutputStream out = socket.getOutputStream();
+            out.write(new byte[bytes - lastBytes]);
+            // A client that goes on after a response might lose it to a reset.
+            for (int i = 0; i < lastBytes && socket.getInputStream().available() == 0; i++) {
+                Threads.sleep(pauseMs);
+                out.write(0);
+            }
+        });
+    }
+
     /** Asks for large responses and reads none of them. */
     void askWithoutReading(int count) {
-        run(count, "large", "", socket -> {});
+        run("GET", count, "large", "", "\r\n", socket -> {});
     }
 
     /** Sends request heads behind each other without end, and reads no response. */
     void pipeline(int count, int maxHeads) {
-        byte[] heads = "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n".repeat(64).getBytes(StandardCharsets.ISO_8859_1);
-        run(count, "x", "", socket -> {
+        byte[] requests =
+                "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n".repeat(64).getBytes(StandardCharsets.ISO_8859_1);
+        run("GET", count, "x", "", "\r\n", socket -> {
             for (int sent = 0; sent < maxHeads; sent += 64) {
-                socket.getOutputStream().write(heads);
+                socket.getOutputStream().write(requests);
             }
         });
     }
 
     /** Sends heads with as many short headers as fit in a legal head, without their end. */
     void sendUnfinishedHeads(int count) {
-        run(count, "x", "a:\r\n".repeat(3_500) + "a:", socket -> {}, "");
+        sendUnfinishedHeads(count, "a:\r\n".repeat(3_500) + "a:");
     }
 
-    private void run(int count, String path, String headers, Sender sender) {
-        run(count, path, headers, sender, "\r\n");
+    /** Sends heads with other headers, without their end. */
+    void sendUnfinishedHeads(int count, String headers) {
+        run("GET", count, "x", headers, "", socket -> {});
     }
 
-    private void run(int count, String path, String headers, Sender sender, String end) {
+    private void run(String method, int count, String name, String headers, String end, Sender sender) {
         for (int i = 0; i < count; i++) {
-            String id = path + "-" + i;
+            String id = name + "-" + i;
             senders.add(Threads.start("crowd", () -> {
                 try {
                     Socket socket = connect();
-                    String head = (headers.isEmpty() || "x".equals(path) ? "GET " : "POST ")
-                            + ExampleEntries.ONCE_PATH + path + " HTTP/1.1\r\nHost: " + ExampleEntries.HOST + "\r\n"
-                            + scheme.key() + ": " + ExampleEntries.KEY + "\r\n" + scheme.requestId() + ": " + id
-                            + "\r\n" + headers + end;
+                    String head = heads.head(method, name, id) + headers + end;
                     socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
                     sender.send(socket);
                 } catch (IOException e) {
@@ -110,7 +138,7 @@
     private Socket connect() throws IOException {
         Socket socket = new Socket();
         socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
-        socket.connect(new InetSocketAddress(host.edge().ip(), host.edge().port()), CONNECT_TIMEOUT_MS);
+        socket.connect(new InetSocketAddress(address.ip(), address.port()), CONNECT_TIMEOUT_MS);
         sockets.add(socket);
         return socket;
     }
@@ -138,7 +166,7 @@
         }
     }
 
-    /** Returns the statuses that the clients have been sent so far, 0 for none. */
+    /** Returns the statuses that the clients have been sent so far, 0 for a closed connection, else -1. */
     List<Integer> statuses() {
         List<Integer> statuses = new ArrayList<>();
         for (Socket socket : sockets) {
@@ -147,7 +175,7 @@
                 HttpText response = HttpText.read(socket.getInputStream());
                 statuses.add(response == null ? 0 : response.status());
             } catch (SocketTimeoutException e) {
-                statuses.add(0);
+                statuses.add(PENDING);
             } catch (IOException e) {
                 statuses.add(0);
             }
--- a/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
@@ -1,18 +1,18 @@
 package org.knapweedhatch.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -23,6 +23,7 @@
 import org.knapweedhatch.message.HeaderScheme;
 import org.knapweedhatch.platform.MemoryPlatform;
 import org.knapweedhatch.platform.StoredObject;
+import org.knapweedhatch.platform.wire.DirectoryAnswer;
 import org.knapweedhatch.platform.wire.ExampleEntries;
 import org.knapweedhatch.platform.wire.PlatformHeaders;
 import org.knapweedhatch.standin.PlatformStandIn;
@@ -42,11 +43,13 @@
     private static final int DESCRIPTORS = 400;
     private static final int BODY_BYTES = 8 << 20;
 
-    /** Heap of a host in a deployment, and its memory in all on the smallest machine. */
     private static final int DEPLOYED_HEAP_MB = 160;
 
+    /** Memory of the smallest machine of a deployment. */
     private static final int DEPLOYED_MB = 282;
 
+    private static final int DEPLOYED_DESCRIPTORS = 2_069;
+
     /** Largest body in a deployment by default. */
     private static final int DEPLOYED_BODY_BYTES = 64 << 20;
 
@@ -63,6 +66,18 @@
     /** More connections than callers may have with this limit of descriptors. */
     private static final int SILENT = 500;
 
+    private static final int SMALL_BODY_BYTES = 200_000;
+    private static final int TRICKLED_BYTES = 1_000;
+    private static final long TRICKLE_PAUSE_MS = 50;
+
+    /** Together several times the memory that requests may take. */
+    private static final int WHOLE_BODIES = 60;
+
+    private static final int WHOLE_BODY_BYTES = 4 << 20;
+
+    /** Legal at the pages, whose heads may have 16 KiB. */
+    private static final int PAGE_HEAD_BYTES = 12_000;
+
     private static final int TARGETS = 12;
     private static final long FILL_MS = 1_000;
     private static final long SETTLE_MS = 6_000;
@@ -91,10 +106,15 @@
 
     @BeforeEach
     void start() throws IOException {
-        start(HEAP_MB, BODY_BYTES);
+        start(BODY_BYTES);
     }
 
-    private void start(int heapMb, int bodyBytes) throws IOException {
+    private void startAsDeployed() throws IOException {
+        stop();
+        start(DEPLOYED_BODY_BYTES);
+    }
+
+    private void start(int bodyBytes) throws IOException {
         MemoryPlatform platform = MemoryPlatform.create();
         store = PlatformStandIn.start("127.0.0.1", 0, "", platform);
         target = new EndlessTarget(scheme);
@@ -108,10 +128,15 @@
         }
         Address address = new Address(store.uri().getHost(), store.uri().getPort());
         host = HostProcess.create(folder, List.of("host-0"), address, GRACE).get(0);
-        host.heapMb(heapMb).descriptors(DESCRIPTORS).start();
+        if (bodyBytes == DEPLOYED_BODY_BYTES) {
+            host.heapMb(DEPLOYED_HEAP_MB).memoryMb(DEPLOYED_MB).descriptors(DEPLOYED_DESCRIPTORS);
+        } else {
+            host.heapMb(HEAP_MB).descriptors(DESCRIPTORS);
+        }
+        host.start();
         host.awaitReady();
         Threads.sleep(FILL_MS);
-        crowd = new Crowd(host, scheme);
+        crowd = new Crowd(host.edge(), Crowd.Heads.of(scheme, ExampleEntries.KEY));
     }
 
     @AfterEach
@@ -187,8 +212,7 @@
     /** Guards against limits that leave no room for the largest body, or for the rest of the machine. */
     @Test
     void aHostOfADeploymentServesTheLargestBodyAndStaysWithinItsMachine() throws IOException {
-        stop();
-        start(DEPLOYED_HEAP_MB, DEPLOYED_BODY_BYTES);
+        startAsDeployed();
         crowd.upload(1, DEPLOYED_BODY_BYTES, 0, false);
         crowd.settle(SETTLE_MS);
         Threads.sleep(FILL_MS);
@@ -235,18 +259,32 @@
         }
         assertTrue(host.isAlive(), "the host ended");
         assertEquals(200, status);
-        long residentMb = residentPeakMb();
+        long residentMb = host.residentPeakMb();
         assertTrue(residentMb <= maxMb, residentMb + " MB");
-        long descriptors = openDescriptors();
-        assertTrue(descriptors <= DESCRIPTORS, descriptors + " descriptors");
+        long descriptors = host.openDescriptors();
+        int limit = maxMb == DEPLOYED_MB ? DEPLOYED_DESCRIPTORS : DESCRIPTORS;
+        assertTrue(descriptors <= limit, descriptors + " descriptors");
+    }
+
+    /** Asks once, and once more if a door made room for others meanwhile. */
+    private int lookUp() {
+        String path = DirectoryAnswer.LOOK_UP_PATH + "?" + DirectoryAnswer.REGION + "=lima&" + DirectoryAnswer.DOMAIN
+                + "=lima-a";
+        String request = "GET " + path + " HTTP/1.1\r\nHost: " + ExampleEntries.HOST + "\r\n\r\n";
+        int status = ask(host.doors().directory(), request);
+        return status == 200 ? status : ask(host.doors().directory(), request);
     }
 
     private int call(String id) {
-        try (Socket socket = new Socket(host.edge().ip(), host.edge().port())) {
+        String request = "GET " + ExampleEntries.REPEATABLE_PATH + "x HTTP/1.1\r\nHost: " + ExampleEntries.HOST
+                + "\r\n" + scheme.key() + ": " + ExampleEntries.KEY + "\r\n" + scheme.requestId() + ": " + id
+                + "\r\n\r\n";
+        return ask(host.edge(), request);
+    }
+
+    private static int ask(Address address, String request) {
+        try (Socket socket = new Socket(address.ip(), address.port())) {
             socket.setSoTimeout(READ_TIMEOUT_MS);
-            String request = "GET " + ExampleEntries.REPEATABLE_PATH + "x HTTP/1.1\r\nHost: " + ExampleEntries.HOST
-                    + "\r\n" + scheme.key() + ": " + ExampleEntries.KEY + "\r\n" + scheme.requestId() + ": " + id
-                    + "\r\n\r\n";
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
             HttpText response = HttpText.read(socket.getInputStream());
             return response == null ? 0 : response.status();
@@ -254,18 +292,4 @@
             return 0;
         }
     }
-
-    private long residentPeakMb() throws IOException {
-        return Files.readAllLines(Path.of("/proc/" + host.pid() + "/status")).stream()
-                .filter(line -> line.startsWith("VmHWM:"))
-                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) / 1_024)
-                .findFirst()
-                .orElseThrow();
-    }
-
-    private long openDescriptors() throws IOException {
-        try (Stream<Path> open = Files.list(Path.of("/proc/" + host.pid() + "/fd"))) {
-            return open.count();
-        }
-    }
 }
--- a/daemon/src/test/java/org/knapweedhatch/soak/HostProcess.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/HostProcess.java
@@ -12,29 +12,34 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.knapweedhatch.daemon.Main;
 import org.knapweedhatch.platform.wire.DirectoryAnswer;
 import org.knapweedhatch.world.Address;
 
-/** One host as a real process, started again and again with the same settings. */
+/** One host as a real process, started again and again with the same settings; on either interface. */
 final class HostProcess {
 
     private static final Duration START = Duration.ofSeconds(60);
 
+    /** Addresses and the path at which a host says whether it takes requests. */
+    record Doors(Address edge, Address peer, Address ready, String readyPath, Address directory, Address metrics) {}
+
     private final String name;
     private final Path settings;
     private final Path output;
-    private final Address edge;
-    private final Address ready;
-    private int heapMb = 160;
+    private final Doors doors;
+    private List<String> memoryFlags = List.of("-Xmx160m");
+    /** Limit of descriptors that the system sets the process; 0 for none. */
+    private int systemDescriptors;
+
     private volatile Process process;
     private volatile long startNanos;
     private volatile long stopNanos;
 
-    private HostProcess(String name, Path folder, Address edge, Address ready) {
+    private HostProcess(String name, Path folder, Doors doors) {
         this.name = name;
-        this.edge = edge;
-        this.ready = ready;
+        this.doors = doors;
         settings = folder.resolve(name + ".ini");
         output = folder.resolve(name + ".log");
     }
@@ -48,7 +53,14 @@
         for (int i = 0; i < names.size(); i++) {
             List<Integer> own = ports.subList(i * 5, i * 5 + 5);
             String name = names.get(i);
-            HostProcess host = new HostProcess(name, folder, local(own.get(0)), local(own.get(2)));
+            Doors doors = new Doors(
+                    local(own.get(0)),
+                    local(own.get(1)),
+                    local(own.get(2)),
+                    DirectoryAnswer.READY_PATH,
+                    local(own.get(3)),
+                    local(own.get(4)));
+            HostProcess host = new HostProcess(name, folder, doors);
             Files.write(
                     host.settings,
                     List.of(
@@ -79,6 +91,32 @@
         return hosts;
     }
 
+    /** Writes the settings of one host with the project's own interface, whose pages are at the callers' address. */
+    static HostProcess createEntryHost(Path folder, Address platform, Duration drain, Duration stop)
+            throws IOException {
+        List<Integer> ports = freePorts(2);
+        Address edge = local(ports.get(0));
+        Doors doors = new Doors(edge, local(ports.get(1)), edge, "/-/ready", edge, edge);
+        HostProcess host = new HostProcess("entry-host", folder, doors);
+        Files.write(
+                host.settings,
+                List.of(
+                        "[host]",
+                        "name = entry-host",
+                        "region = lima",
+                        "failure-domain = lima-a",
+                        "edge = " + doors.edge(),
+                        "peer = " + doors.peer(),
+                        "[platform]",
+                        "address = " + platform,
+                        "[fleet]",
+                        "secret = soak-secret-of-the-hosts",
+                        "[drain]",
+                        "time = " + drain.toMillis() + "ms",
+                        "stop-timeout = " + stop.toMillis() + "ms"));
+        return host;
+    }
+
     private static Address local(int port) {
         return new Address("127.0.0.1", port);
     }
@@ -99,10 +137,31 @@
 
     /** Starts the process with another limit of its heap, which is that of its direct memory too. */
     HostProcess heapMb(int limit) {
-        heapMb = limit;
+        memoryFlags = List.of("-Xmx" + limit + "m");
         return this;
     }
 
+    /** Starts the process with the limits of memory of a deployment. */
+    HostProcess deployedMemory() throws IOException {
+        Path deploy = Path.of("..", "deploy");
+        memoryFlags = Files.readAllLines(deploy.resolve("system.toml")).stream()
+                .filter(line -> line.startsWith("run = "))
+                .flatMap(line -> Stream.of(line.split("[ \"]+")))
+                .filter(word -> word.startsWith("-Xmx") || word.startsWith("-XX:MaxDirectMemorySize"))
+                .toList();
+        for (String line : Files.readAllLines(deploy.resolve("front.ini"))) {
+            if (line.startsWith("buffer-mb")) {
+                hostSetting(line);
+            }
+        }
+        return this;
+    }
+
+    private void hostSetting(String line) throws IOException {
+        String text = Files.readString(settings);
+        Files.writeString(settings, text.replace("[host]\n", "[host]\n" + line + "\n"));
+    }
+
     /** Changes the limit of descriptors in the settings. */
     HostProcess descriptors(int limit) throws IOException {
         String text = Files.readString(settings);
@@ -110,9 +169,32 @@
         return this;
     }
 
-    /** Returns the id of the process. */
-    long pid() {
-        return process.pid();
+    /** States the machine's memory in the settings. */
+    HostProcess memoryMb(int limit) throws IOException {
+        hostSetting("memory-mb = " + limit);
+        return this;
+    }
+
+    /** Lets the system limit the descriptors of the process. */
+    HostProcess systemDescriptors(int limit) {
+        systemDescriptors = limit;
+        return this;
+    }
+
+    /** Returns the most memory that the process has had so far, in megabytes. */
+    long residentPeakMb() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(line -> line.startsWith("VmHWM:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) / 1_024)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns the number of files and connections that the process has open. */
+    long openDescriptors() throws IOException {
+        try (Stream<Path> open = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+            return open.count();
+        }
     }
 
     String name() {
@@ -120,7 +202,11 @@
     }
 
     Address edge() {
-        return edge;
+        return doors.edge();
+    }
+
+    Doors doors() {
+        return doors;
     }
 
     /** Returns when the process was started last, as a reading of {@link System#nanoTime}. */
@@ -140,19 +226,24 @@
     void start() throws IOException {
         stopNanos = 0;
         startNanos = System.nanoTime();
-        process = new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-Xmx" + heapMb + "m",
-                        "-Xss256k",
-                        "-XX:+UseSerialGC",
-                        // A host whose heap is used up is not sound, even if it goes on.
-                        "-XX:+ExitOnOutOfMemoryError",
-                        "-XX:TieredStopAtLevel=1",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        Main.class.getName(),
-                        "--settings",
-                        settings.toString())
+        List<String> command = new ArrayList<>();
+        if (systemDescriptors > 0) {
+            command.addAll(List.of("bash", "-c", "ulimit -n " + systemDescriptors + " && exec \"$@\"", "--"));
+        }
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(memoryFlags);
+        command.addAll(List.of(
+                "-Xss256k",
+                "-XX:+UseSerialGC",
+                // A host whose heap is used up is not sound, even if it goes on.
+                "-XX:+ExitOnOutOfMemoryError",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                "--settings",
+                settings.toString()));
+        process = new ProcessBuilder(command)
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
                 .start();
@@ -172,10 +263,9 @@
     /** Returns whether the host says that it takes requests. */
     boolean isReady() {
         try {
-            HttpURLConnection connection =
-                    (HttpURLConnection) URI.create("http://" + ready + DirectoryAnswer.READY_PATH)
-                            .toURL()
-                            .openConnection();
+            HttpURLConnection connection = (HttpURLConnection) URI.create("http://" + doors.ready() + doors.readyPath())
+                    .toURL()
+                    .openConnection();
             connection.setConnectTimeout(500);
             connection.setReadTimeout(500);
             return connection.getResponseCode() == 200;
