Bound the connections of pages and of hosts without a proof by the descriptors

Callers saw: a host passes its limit of descriptors, after which it can accept nobody and open nothing. Cause: the look-up, readiness and metrics addresses had no bound on connections or on what their clients hold, and the port between hosts kept 256 connections without a proof whatever the limit of descriptors. Evidence: CrowdInAProcessTest on with 400 descriptors: 250 silent connections at each of five doors left 992 open, 558 when half of them leave; 300 clients at each page that read nothing left 1,022. Unfinished heads at the pages passed before; that case and one of whole bodies, which passed before too, are kept as guards. Change: the pages listen behind HttpListeners, with 15 % of the descriptors beyond 400 and 5 % of the heap's limit for all three, and close a connection after 15 s without a byte; connections without a proof get 10 %, 256 at most. Why it works: the shares of all doors add up to the descriptors beyond those that the process needs itself; within a door silent and idle connections make way, so a request is answered while the crowd stays.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -161,6 +161,7 @@
                 .objectSource(ListingServer.of(beliefs)::serve)
                 .tickTask(this::tick)
                 .configuration(() -> ready() ? beliefs.configuration().number() : 0)
+                .maxUnproved(connectionLimits().unprovedPeerConnections())
                 .start();
         news = new PeerFetcher(beliefs, reports, watchRole::watches, peers::fetch, time, log);
         relay = new StoreRelay(beliefs, watchRole, news, peers::send, time);
@@ -183,7 +184,8 @@
                 .page("/-/live", query -> Admin.Reply.text(200, "live\n"))
                 .page("/-/metrics", query -> Admin.Reply.text(200, metrics.scrape()))
                 .build();
-        pages = FrontPages.listen(settings, this::ready, entryHosts::directory, admin);
+        pages = FrontPages.listen(settings, this::ready, entryHosts::directory, admin, time);
+        ListenerGauges.register(metrics, "page", pages.listeners());
     }
 
     /** Starts a host; throws {@link RuntimeException} where an address cannot be bound. */
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontPages.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontPages.java
@@ -1,6 +1,5 @@
 package org.knapweedhatch.daemon;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -12,7 +11,10 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.knapweedhatch.admin.Admin;
+import org.knapweedhatch.clock.TimeSource;
+import org.knapweedhatch.listen.HttpListeners;
 import org.knapweedhatch.platform.wire.DirectoryAnswer;
+import org.knapweedhatch.resource.ConnectionLimits;
 import org.knapweedhatch.settings.FrontSettings;
 import org.knapweedhatch.steer.HostDirectory;
 import org.knapweedhatch.world.Host;
@@ -20,9 +22,6 @@
 /** The pages of a host on the users' platform: readiness, the directory, and the admin pages. */
 final class FrontPages {
 
-    private static final int IO_THREADS = 1;
-    private static final int WORKER_THREADS = 1;
-
     /** Requests of these pages have short heads and no body. */
     private static final int MAX_HEADER_BYTES = 16 * 1_024;
 
@@ -35,37 +34,52 @@
     /** Time that a connection may stay open without a request, as for callers by default. */
     private static final int NO_REQUEST_TIMEOUT_MS = 15_000;
 
-    private final Undertow server;
+    /** Time without a byte of a request or its response. */
+    private static final int IDLE_TIMEOUT_MS = 15_000;
+
+    /** Share of the heap's limit that the clients of all pages may hold together. */
+    private static final double MEMORY_SHARE = 0.05;
+
+    private final HttpListeners server;
     private final BooleanSupplier ready;
     private final Supplier<HostDirectory> directory;
 
-    private FrontPages(FrontSettings settings, BooleanSupplier ready, Supplier<HostDirectory> directory, Admin admin) {
+    private FrontPages(
+            FrontSettings settings,
+            BooleanSupplier ready,
+            Supplier<HostDirectory> directory,
+            Admin admin,
+            TimeSource time) {
         this.ready = ready;
         this.directory = directory;
-        server = Undertow.builder()
-                .setIoThreads(IO_THREADS)
-                .setWorkerThreads(WORKER_THREADS)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MS)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MS)
-                .addHttpListener(
-                        settings.ready().port(), settings.ready().ip(), at(DirectoryAnswer.READY_PATH, this::ready))
-                .addHttpListener(
-                        settings.directory().port(),
-                        settings.directory().ip(),
-                        at(DirectoryAnswer.LOOK_UP_PATH, this::lookUp))
-                .addHttpListener(settings.metrics().port(), settings.metrics().ip(), admin)
-                .build();
+        server = HttpListeners.builder(time)
+                .maxConnections(ConnectionLimits.of(settings.descriptors()).pageConnections())
+                .memory((long) (Runtime.getRuntime().maxMemory() * MEMORY_SHARE))
+                .option(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                .option(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .option(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
+                .option(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MS)
+                .option(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MS)
+                .option(UndertowOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MS)
+                .listener(settings.ready(), at(DirectoryAnswer.READY_PATH, this::ready))
+                .listener(settings.directory(), at(DirectoryAnswer.LOOK_UP_PATH, this::lookUp))
+                .listener(settings.metrics(), admin)
+                .start();
     }
 
     /** Starts to listen; throws {@link RuntimeException} where an address cannot be bound. */
     static FrontPages listen(
-            FrontSettings settings, BooleanSupplier ready, Supplier<HostDirectory> directory, Admin admin) {
-        FrontPages pages = new FrontPages(settings, ready, directory, admin);
-        pages.server.start();
-        return pages;
+            FrontSettings settings,
+            BooleanSupplier ready,
+            Supplier<HostDirectory> directory,
+            Admin admin,
+            TimeSource time) {
+        return new FrontPages(settings, ready, directory, admin, time);
+    }
+
+    /** Returns the listeners, for their counts. */
+    HttpListeners listeners() {
+        return server;
     }
 
     private static HttpHandler at(String path, HttpHandler page) {
--- a/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
@@ -69,6 +69,7 @@
                 .receiver(this::receive)
                 .outdated(membership::raiseIncarnationAbove)
                 .store(b.objectSource)
+                .maxUnproved(b.maxUnproved)
                 .start();
         ticker = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "peers");
@@ -163,6 +164,7 @@
         private Consumer<MembershipView> viewListener = view -> {};
         private Runnable tickTask = () -> {};
         private LongSupplier configuration = () -> 0;
+        private int maxUnproved = Integer.MAX_VALUE;
         private Function<String, Optional<byte[]>> objectSource = name -> Optional.empty();
 
         private Builder(Host self, String secret, TimeSource time) {
@@ -201,6 +203,12 @@
             return this;
         }
 
+        /** Lowers the number of accepted connections that have not proved to be of a host. */
+        public Builder maxUnproved(int connections) {
+            maxUnproved = connections;
+            return this;
+        }
+
         /** Sets the function that returns the bytes that other hosts fetch by name; it must not block. */
         public Builder objectSource(Function<String, Optional<byte[]>> byName) {
             objectSource = Validate.notNull(byName, "store");
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
@@ -81,7 +81,7 @@
     private final LinkRule rule;
     private final PeerCounters counters = new PeerCounters();
     private final Fetches fetches = new Fetches(Limits.FETCHES);
-    private final UnprovedConnections<PeerChannel> unproved = new UnprovedConnections<>(Limits.UNPROVED);
+    private final UnprovedConnections<PeerChannel> unproved;
     private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
     private final EventLoopGroup loops;
     private volatile boolean stopped;
@@ -99,6 +99,7 @@
         outdated = b.outdated;
         store = b.store;
         rule = b.rule;
+        unproved = new UnprovedConnections<>(b.maxUnproved);
         loops = new MultiThreadIoEventLoopGroup(
                 THREADS, new DefaultThreadFactory("peer-" + host.name(), true), NioIoHandler.newFactory());
     }
@@ -316,6 +317,7 @@
         private LongConsumer outdated = number -> {};
         private Function<String, Optional<byte[]>> store = name -> Optional.empty();
         private LinkRule rule = LinkRule.open();
+        private int maxUnproved = Limits.UNPROVED;
 
         private Builder(Host host, String secret) {
             this.host = Validate.notNull(host, "host");
@@ -372,6 +374,12 @@
             return this;
         }
 
+        /** Lowers the number of accepted connections that have not proved themselves. */
+        public Builder maxUnproved(int connections) {
+            maxUnproved = Math.min(maxUnproved, connections);
+            return this;
+        }
+
         /** Starts to listen at the host's peer address, or throws where that is not possible. */
         public PeerTransport start() {
             PeerTransport transport = new PeerTransport(this);
--- a/daemon/src/test/java/org/knapweedhatch/daemon/FrontPagesTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/daemon/FrontPagesTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.knapweedhatch.admin.Admin;
+import org.knapweedhatch.clock.TimeSource;
 import org.knapweedhatch.ini.IniFile;
 import org.knapweedhatch.settings.ExampleSettings;
 import org.knapweedhatch.settings.FrontSettings;
@@ -41,7 +42,8 @@
                 () -> {
                     throw new IllegalStateException("no look-up is made");
                 },
-                Admin.builder().build());
+                Admin.builder().build(),
+                TimeSource.system());
     }
 
     @AfterEach
--- a/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
@@ -224,6 +224,66 @@
         assertServes(DEPLOYED_MB);
     }
 
+    /** Guards against requests that are complete and wait for each other. */
+    @Test
+    void wholeBodiesAreAnsweredInTheEnd() throws IOException {
+        crowd.upload(WHOLE_BODIES, WHOLE_BODY_BYTES, 0, false);
+        callMeanwhile();
+        assertServes();
+        Threads.sleep(GRACE.plusSeconds(2).toMillis());
+        List<Integer> statuses = crowd.statuses();
+        assertTrue(statuses.contains(200), statuses.toString());
+        assertFalse(statuses.contains(Crowd.PENDING), statuses.toString());
+    }
+
+    /** Guards against descriptors that one door takes from the others. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void callersAreAnsweredBesideCrowdsAtEveryDoor(boolean halfLeave) throws IOException {
+        HostProcess.Doors doors = host.doors();
+        List<Crowd> crowds = new ArrayList<>();
+        for (Address door : List.of(doors.edge(), doors.peer(), doors.ready(), doors.directory(), doors.metrics())) {
+            Crowd silent = new Crowd(door, Crowd.Heads.of(scheme, ExampleEntries.KEY));
+            crowds.add(silent);
+            silent.connectSilently(SILENT / 2);
+            if (halfLeave) {
+                silent.leaveByHalf();
+            }
+        }
+        callMeanwhile();
+        assertEquals(200, lookUp());
+        assertTrue(host.isReady(), "the host is not ready");
+        assertServes();
+        for (Crowd silent : crowds) {
+            silent.close();
+        }
+    }
+
+    /** Guards against pages whose unfinished heads, or responses that nobody reads, take the memory of the host. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void pagesAreAnsweredBesideACrowdThatAsksForThem(boolean unfinished) throws IOException {
+        HostProcess.Doors doors = host.doors();
+        List<Crowd> crowds = new ArrayList<>();
+        for (Address door : List.of(doors.ready(), doors.directory(), doors.metrics())) {
+            Crowd pages = new Crowd(door, (method, name, id) -> "GET /-/metrics HTTP/1.1\r\nHost: a.example\r\n");
+            crowds.add(pages);
+            if (unfinished) {
+                pages.sendUnfinishedHeads(UNFINISHED, "X-Long: " + "a".repeat(PAGE_HEAD_BYTES));
+            } else {
+                pages.askWithoutReading(UNFINISHED);
+            }
+            pages.settle(SETTLE_MS);
+        }
+        callMeanwhile();
+        assertEquals(200, lookUp());
+        assertTrue(host.isReady(), "the host is not ready");
+        assertServes();
+        for (Crowd pages : crowds) {
+            pages.close();
+        }
+    }
+
     @Test
     void aStoppingHostEndsBesideACrowd() throws IOException {
         crowd.upload(UPLOADS, BODY_BYTES, 1, false);
