Refuse a request by its head before its body is kept

Callers saw: 503 for lack of memory beside a crowd whose requests could never be served, and the crowd itself got 503 where 401 was true, which tells it to come back. Cause: route, key, configuration and planned stop were looked at only when the body was complete, so that a body with an unknown key took memory from the others. Evidence: CrowdInAProcessTest.bodiesWithAnUnknownKeyAreRefusedForTheirKey on: [503] where [401] is wanted, by length and in chunks. By reading, Expect: 100-continue invited such a body too. Change: Reception decides on a body when its request's head is there. A refused request is answered at once if its body is larger than 128 KiB or not yet sent, which closes the connection; a smaller body is read and left out, so that the connection goes on. A complete request is decided on anew, as the configuration may have changed. The rate is still looked at when the request is complete: a token taken at the head would be spent in another window than the one in which the request reaches a target. The account of undecoded input moves to InputMemory. Why it works: such bodies reserve no memory at all, and the refusal is the one that the head calls for.

--- a/daemon/src/main/java/org/knapweedhatch/front/Admission.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/Admission.java
@@ -17,7 +17,6 @@
 import org.knapweedhatch.quota.RateLimitExceeded;
 import org.knapweedhatch.world.Access;
 import org.knapweedhatch.world.Configuration;
-import org.knapweedhatch.world.Destination;
 import org.knapweedhatch.world.Route;
 import org.knapweedhatch.world.Team;
 
@@ -46,12 +45,25 @@
      * @param service service that the request is sent to
      * @param regions regions whose targets may run it; empty for all
      */
-    record Admitted(Route route, String team, int priority, String service, Set<String> regions) implements Decision {}
+    record Admitted(Route route, String team, int priority, String service, Set<String> regions) implements Decision {
+        private Admitted to(String selected) {
+            return new Admitted(route, team, priority, selected, regions);
+        }
+    }
 
     /** The request is refused; the team is empty if it is unknown. */
     record Refused(Refusal refusal, String team) implements Decision {}
 
+    /** Decides on a request, and selects the service that it goes to if it is allowed. */
     Decision decide(HttpRequest request) {
+        Decision decision = examine(request);
+        return decision instanceof Admitted allowed
+                ? allowed.to(destinations.next(allowed.route()).service())
+                : decision;
+    }
+
+    /** Decides on a request by its head without the selection of a service, which is left empty. */
+    Decision examine(HttpRequest request) {
         if (context.stop().filter(stop -> !stop.takesRequests()).isPresent()) {
             return new Refused(LEAVING, "");
         }
@@ -109,9 +121,8 @@
         };
     }
 
-    private Decision admitted(Route route, String team, int priority, Set<String> regions) {
-        Destination destination = destinations.next(route);
-        return new Admitted(route, team, priority, destination.service(), regions);
+    private static Decision admitted(Route route, String team, int priority, Set<String> regions) {
+        return new Admitted(route, team, priority, "", regions);
     }
 
     private static Refused refused(Reason reason, String team) {
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -29,13 +29,13 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.knapweedhatch.answer.Reason;
 import org.knapweedhatch.answer.Refusal;
 import org.knapweedhatch.log.LineKind;
 import org.knapweedhatch.resource.MemoryBudget;
 import org.knapweedhatch.resource.MemoryReclaimer;
+import org.knapweedhatch.resource.Progress;
 import org.knapweedhatch.world.CallerLimits;
 
 /**
@@ -63,15 +63,15 @@
      */
     private static final Duration LINGER = Duration.ofSeconds(1);
 
-    /** Retry-After of requests refused for memory; most requests at targets return theirs in this time. */
-    private static final Duration MEMORY_RETRY_AFTER = Duration.ofMillis(500);
+    /** Refusal for memory; most requests at targets return theirs until the caller is to come back. */
+    private static final Refusal NO_MEMORY = Refusal.of(Reason.NO_MEMORY).retryAfter(Duration.ofMillis(500));
 
     private final FrontServer server;
     private final CallerLimits limits;
     private final Deque<CallerRequest> pending = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private RequestDecoder decoder;
-    private CallerRequest receiving;
+    private Reception receiving;
     private boolean inputIgnored;
     private boolean closeAfterRequest;
     private boolean closedByCaller;
@@ -87,22 +87,19 @@
     private boolean waitsForMemory;
     private boolean droppedForMemory;
     private final long openedNanos;
-    private long decoderMemory;
+    private final InputMemory undecoded;
+    private final Progress progress = new Progress();
     private long bytesIn;
     private long bytesOut;
-    private long sampledBytes;
-    private long recentBytes;
-    private long lastBytesIn;
-    private long lastInputNanos;
 
     CallerConnection(FrontServer server) {
         this.server = server;
         limits = server.context().configuration().callerLimits();
         lastActiveNanos = server.context().time().nanos();
         openedNanos = lastActiveNanos;
-        lastInputNanos = lastActiveNanos;
         lastPollNanos = lastActiveNanos - POLL_VALIDITY.toNanos();
         acceptDelayNanos = server.maxAcceptDelayNanos();
+        undecoded = new InputMemory(server, this);
     }
 
     /** Returns the longest time that the connection may have waited to be accepted, in nanoseconds. */
@@ -151,12 +148,12 @@
         headStarted = false;
         lastActiveNanos = server.context().time().nanos();
         long memory = RequestHeads.memoryOf(head);
-        boolean reserved = reserve(memory, 0);
+        boolean reserved = undecoded.reserve(memory);
         CallerRequest request = new CallerRequest(server, this, head, reserved ? memory : 0);
         pending.addLast(request);
         if (!reserved) {
             inputIgnored = true;
-            request.refuse(Refusal.of(Reason.NO_MEMORY).retryAfter(MEMORY_RETRY_AFTER), "");
+            request.refuse(NO_MEMORY, "");
             return;
         }
         if (server.context().stop().isPresent()) {
@@ -172,8 +169,14 @@
             request.refuse(Refusal.of(Reason.BODY_TOO_LARGE), "");
             return;
         }
-        receiving = request;
-        if (HttpUtil.is100ContinueExpected(head) && pending.size() == 1) {
+        boolean hasBody = length > 0 || HttpUtil.isTransferEncodingChunked(head);
+        receiving = hasBody ? Reception.begin(server, this, request) : Reception.withoutBody(server, this, request);
+        boolean awaited = HttpUtil.is100ContinueExpected(head);
+        if (receiving.isRefused() && (awaited || length > MemoryBudget.SMALL_BYTES)) {
+            ignoreReceiving().refuse();
+            return;
+        }
+        if (awaited && pending.size() == 1) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -224,73 +227,57 @@
     }
 
     private void appendContent(HttpContent content) {
-        CallerRequest request = receiving;
         if (content.decoderResult().isFailure()) {
+            CallerRequest malformed = receiving.request();
             receiving = null;
-            reject(request, content.decoderResult().cause());
+            reject(malformed, content.decoderResult().cause());
             return;
         }
-        if (content.content().isReadable()) {
-            if (request.received() + content.content().readableBytes() > limits.bodyBytes()) {
-                refuseReceiving(Refusal.of(Reason.BODY_TOO_LARGE));
-                return;
-            }
-            if (!appendBody(request, content.content())) {
-                return;
-            }
+        if (content.content().isReadable() && !takeBody(content.content())) {
+            return;
         }
         if (content instanceof LastHttpContent) {
+            Reception reception = receiving;
             receiving = null;
             inputIgnored = closeAfterRequest;
             waitsForMemory = false;
             server.reclaimer().remove(this);
             updateReading();
-            startRequest(request);
+            startRequest(reception);
         }
     }
 
-    /** Appends to the body that is being received; returns false if this connection was dropped for its memory. */
-    private boolean appendBody(CallerRequest request, ByteBuf part) {
-        while (!request.appendBody(part)) {
-            if (!server.reclaimer().reclaim(request.reservedBody() + part.readableBytes())) {
-                dropForMemory();
-            }
-            if (droppedForMemory) {
-                return false;
-            }
+    /** Takes a part of a body in; returns false if that ended the reception. */
+    private boolean takeBody(ByteBuf part) {
+        switch (receiving.take(part)) {
+            case TOO_LARGE -> refuseReceiving(Refusal.of(Reason.BODY_TOO_LARGE));
+            case NO_MEMORY -> dropForMemory();
+            case REFUSED -> ignoreReceiving().refuse();
+            default -> awaitMemory();
         }
+        return receiving != null && !droppedForMemory;
+    }
+
+    /** Reads no more of a large body while there is little memory. */
+    private void awaitMemory() {
         if (!waitsForMemory
-                && request.reservedBody() > MemoryBudget.SMALL_BYTES
+                && receiving.request().reservedBody() > MemoryBudget.SMALL_BYTES
                 && server.memory().isScarce()) {
             waitsForMemory = true;
             server.reclaimer().await(this);
             updateReading();
         }
-        return true;
     }
 
-    /** Reserves memory for this connection; returns false if none is left, or this connection gave up its own. */
-    private boolean reserve(long bytes, long held) {
-        while (!server.memory().tryReserve(bytes, held)) {
-            if (!server.reclaimer().reclaim(held + bytes) || droppedForMemory) {
-                return false;
-            }
-        }
-        return true;
+    boolean isDroppedForMemory() {
+        return droppedForMemory;
     }
 
     /** Accounts for the memory of input that belongs to no request so far. */
     private void accountInput() {
-        long held = inputIgnored ? 0 : decoder.heldBytes();
-        long more = held - decoderMemory;
-        if (more > 0 && !reserve(more, decoderMemory)) {
+        if (!undecoded.resize(inputIgnored ? 0 : decoder.heldBytes())) {
             dropForMemory();
-            return;
-        }
-        if (more < 0) {
-            server.memory().release(-more);
         }
-        decoderMemory = held;
     }
 
     @Override
@@ -299,13 +286,15 @@
             return 0;
         }
         return unsentBytes()
-                + decoderMemory
-                + (receiving == null ? 0 : receiving.headMemory() + receiving.reservedBody());
+                + undecoded.reserved()
+                + (receiving == null
+                        ? 0
+                        : receiving.request().headMemory() + receiving.request().reservedBody());
     }
 
     @Override
     public long recentBytes() {
-        return recentBytes + progress() - sampledBytes;
+        return progress.recent(movedBytes());
     }
 
     @Override
@@ -314,7 +303,7 @@
     }
 
     /** Returns the number of bytes received, and sent in responses, since the connection was opened. */
-    private long progress() {
+    private long movedBytes() {
         return bytesIn + bytesOut - unsentBytes();
     }
 
@@ -324,24 +313,31 @@
         if (droppedForMemory) {
             return;
         }
-        server.recordMemoryDrop(this, receiving == null ? null : receiving.id(), unsentBytes());
+        server.recordMemoryDrop(
+                this, receiving == null ? null : receiving.request().id(), unsentBytes());
         droppedForMemory = true;
         waitsForMemory = false;
         server.reclaimer().remove(this);
         if (receiving == null || unsentBytes() > 0) {
             context.close();
         } else {
-            refuseReceiving(Refusal.of(Reason.NO_MEMORY).retryAfter(MEMORY_RETRY_AFTER));
+            refuseReceiving(NO_MEMORY);
         }
     }
 
     /** Refuses the request that is being received, and ignores the rest of it. */
     private void refuseReceiving(Refusal refusal) {
-        CallerRequest request = receiving;
+        ignoreReceiving().refuse(refusal);
+    }
+
+    private Reception ignoreReceiving() {
+        Reception ignored = receiving;
         receiving = null;
+        waitsForMemory = false;
+        server.reclaimer().remove(this);
         inputIgnored = true;
         updateReading();
-        request.refuse(refusal, "");
+        return ignored;
     }
 
     @Override
@@ -351,9 +347,9 @@
     }
 
     /** Starts a completely received request after the current read, since a close may follow in the same read. */
-    private void startRequest(CallerRequest request) {
+    private void startRequest(Reception reception) {
         server.execute(
-                () -> runIfConnected(() -> request.received(context.channel().eventLoop())));
+                () -> runIfConnected(() -> reception.complete(context.channel().eventLoop())));
     }
 
     /**
@@ -442,8 +438,7 @@
 
     /** Called when a response has left this process completely, or cannot any more. */
     private void responseWritten(Future<?> written) {
-        unwrittenResponses--;
-        if (unwrittenResponses + pending.size() == MAX_PIPELINED - 1) {
+        if (--unwrittenResponses + pending.size() == MAX_PIPELINED - 1) {
             resumeInput();
         }
         if (isIdle()) {
@@ -500,14 +495,10 @@
                 && nowNanos - headStartNanos > limits.headerTimeout().toNanos()) {
             headStarted = false;
             inputIgnored = true;
-            CallerRequest.Response response = ProblemResponses.of(
-                    Reason.HEAD_TOO_SLOW, Optional.empty(), "", server.context().headerScheme());
             if (pending.isEmpty()) {
-                DefaultFullHttpResponse message = new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()), response.body());
-                message.headers().set(response.headers()).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                HttpUtil.setContentLength(message, response.body().readableBytes());
-                context.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
+                context.writeAndFlush(ProblemResponses.closing(
+                                Reason.HEAD_TOO_SLOW, server.context().headerScheme()))
+                        .addListener(ChannelFutureListener.CLOSE);
             }
             return;
         }
@@ -517,21 +508,22 @@
             lastActiveNanos = nowNanos;
         }
         if (!waitsForMemory) {
-            recentBytes = recentBytes() / 2;
-            sampledBytes = progress();
-        }
-        if (bytesIn != lastBytesIn || receiving == null || waitsForMemory) {
-            lastBytesIn = bytesIn;
-            lastInputNanos = nowNanos;
-        } else if (nowNanos - lastInputNanos > idleNanos) {
-            refuseReceiving(Refusal.of(Reason.BODY_TOO_SLOW));
+            progress.decay(movedBytes());
         }
+        sweepBody(nowNanos, idleNanos);
         boolean waiting = pending.isEmpty() && !headStarted;
         if (waiting && nowNanos - lastActiveNanos > idleNanos) {
             context.close();
         }
     }
 
+    /** Refuses a request whose body stopped. */
+    private void sweepBody(long nowNanos, long idleNanos) {
+        if (receiving != null && receiving.stoppedNanos(bytesIn, waitsForMemory, nowNanos) > idleNanos) {
+            refuseReceiving(Refusal.of(Reason.BODY_TOO_SLOW));
+        }
+    }
+
     /** Returns the number of response bytes that the socket has not taken yet. */
     private long unsentBytes() {
         ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
@@ -591,8 +583,7 @@
         inputIgnored = true;
         server.callerConnections().remove(this);
         server.reclaimer().remove(this);
-        server.memory().release(decoderMemory);
-        decoderMemory = 0;
+        undecoded.release();
         while (!pending.isEmpty()) {
             CallerRequest request = pending.pollFirst();
             server.memory().release(request.headMemory());
--- a/daemon/src/main/java/org/knapweedhatch/front/ProblemResponses.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/ProblemResponses.java
@@ -1,9 +1,15 @@
 package org.knapweedhatch.front;
 
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
@@ -34,6 +40,16 @@
                 statusOf(reason), headers, Unpooled.copiedBuffer(json, StandardCharsets.UTF_8));
     }
 
+    /** Returns the last response on a connection on which no request is complete. */
+    static FullHttpResponse closing(Reason reason, HeaderScheme scheme) {
+        CallerRequest.Response response = of(reason, Optional.empty(), "", scheme);
+        FullHttpResponse message = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()), response.body());
+        message.headers().set(response.headers()).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        HttpUtil.setContentLength(message, response.body().readableBytes());
+        return message;
+    }
+
     private static int statusOf(Reason reason) {
         return switch (reason) {
             case KEY_MISSING, KEY_MALFORMED, KEY_UNKNOWN, KEY_WITHDRAWN -> UNAUTHORIZED;
--- a/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
@@ -224,6 +224,24 @@
         assertServes(DEPLOYED_MB);
     }
 
+    /**
+     * Guards against large bodies that take the memory of others although their heads tell that they are refused, and
+     * against a refusal that says something else than why.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void bodiesWithAnUnknownKeyAreRefusedForTheirKey(boolean chunked) throws IOException {
+        try (Crowd strangers = new Crowd(host.edge(), Crowd.Heads.of(scheme, "unknown-key"))) {
+            strangers.upload(UPLOADS, BODY_BYTES, 1, chunked);
+            callMeanwhile();
+            strangers.settle(SETTLE_MS);
+            Set<Integer> refusals = new HashSet<>(strangers.statuses());
+            refusals.removeAll(Set.of(0, Crowd.PENDING));
+            assertEquals(Set.of(401), refusals);
+        }
+        assertServes();
+    }
+
     /** Guards against requests that are complete and wait for each other. */
     @Test
     void wholeBodiesAreAnsweredInTheEnd() throws IOException {
