End the reception of a body with the time of its request

Callers saw: less memory for their own bodies, as requests that can no longer be served hold theirs; their senders waited for an answer as long as they sent a byte now and then. Cause: the deadline of a request, the shorter one of the route's and the caller's, was looked at only when its body was complete; before that only a pause of IdleTimeout ended it. Change: the reception of a body has its request's deadline; past it the request is refused with 408, or 503 where this host did not read it for lack of memory.

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -517,10 +517,12 @@
         }
     }
 
-    /** Refuses a request whose body stopped. */
+    /** Refuses a request whose body stopped, or cannot come in time any more. */
     private void sweepBody(long nowNanos, long idleNanos) {
-        if (receiving != null && receiving.stoppedNanos(bytesIn, waitsForMemory, nowNanos) > idleNanos) {
-            refuseReceiving(Refusal.of(Reason.BODY_TOO_SLOW));
+        if (receiving != null
+                && (receiving.isOverdue(nowNanos)
+                        || receiving.stoppedNanos(bytesIn, waitsForMemory, nowNanos) > idleNanos)) {
+            refuseReceiving(waitsForMemory ? NO_MEMORY : Refusal.of(Reason.BODY_TOO_SLOW));
         }
     }
 
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerRequest.java
@@ -162,10 +162,8 @@
 
     private void start(Admission.Admitted allowed, EventLoop loop) {
         admitted = allowed;
-        Duration routeTimeout = admitted.route().policy().timeout();
-        Duration timeout = RequestHeads.timeout(head, context.headerScheme())
-                .filter(p -> p.compareTo(routeTimeout) < 0)
-                .orElse(routeTimeout);
+        Duration timeout = RequestHeads.timeout(
+                head, context.headerScheme(), admitted.route().policy().timeout());
         // The caller's timeout runs from when it sent the request, which a lagging loop reads late.
         deadlineNanos = arrivedNanos + timeout.toNanos() - server.maxReadDelayNanos();
         deadlineTimer =
--- a/daemon/src/main/java/org/knapweedhatch/front/Reception.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/Reception.java
@@ -2,12 +2,14 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpRequest;
+import java.time.Duration;
 import org.knapweedhatch.answer.Refusal;
 import org.knapweedhatch.resource.MemoryBudget;
 
 /**
  * The body of a request while it is received: kept for a target, or discarded as the head tells that the request is
- * refused.
+ * refused. It ends with the time that the request may take.
  */
 final class Reception {
 
@@ -23,12 +25,15 @@
         NO_MEMORY
     }
 
+    private static final long NEVER = Long.MAX_VALUE;
+
     private final FrontServer server;
     private final CallerConnection connection;
     private final CallerRequest request;
     /** Null unless the request is refused whatever its body is. */
     private final Admission.Refused refused;
 
+    private final long deadlineNanos;
     private final long maxBytes;
     private long discardedBytes;
     private long lastConnectionBytes;
@@ -38,27 +43,35 @@
             FrontServer server,
             CallerConnection connection,
             CallerRequest request,
-            Admission.Refused refused) {
+            Admission.Refused refused,
+            long deadlineNanos) {
         this.server = server;
         this.connection = connection;
         this.request = request;
         this.refused = refused;
+        this.deadlineNanos = deadlineNanos;
         lastInputNanos = server.context().time().nanos();
         maxBytes = server.context().configuration().callerLimits().bodyBytes();
     }
 
     /** Begins to receive the body of a request. */
     static Reception begin(FrontServer server, CallerConnection connection, CallerRequest request) {
+        long now = server.context().time().nanos();
         Admission.Decision decision = server.admission().examine(request.head());
-        if (decision instanceof Admission.Admitted) {
-            return new Reception(server, connection, request, null);
+        if (decision instanceof Admission.Admitted admitted) {
+            HttpRequest head = request.head();
+            Duration timeout = RequestHeads.timeout(
+                    head,
+                    server.context().headerScheme(),
+                    admitted.route().policy().timeout());
+            return new Reception(server, connection, request, null, now + timeout.toNanos());
         }
-        return new Reception(server, connection, request, (Admission.Refused) decision);
+        return new Reception(server, connection, request, (Admission.Refused) decision, NEVER);
     }
 
     /** Returns the reception of a request that has no body. */
     static Reception withoutBody(FrontServer server, CallerConnection connection, CallerRequest request) {
-        return new Reception(server, connection, request, null);
+        return new Reception(server, connection, request, null, NEVER);
     }
 
     CallerRequest request() {
@@ -98,6 +111,11 @@
         return nowNanos - lastInputNanos;
     }
 
+    /** Returns whether the time of the request is over, so that no target can be asked any more. */
+    boolean isOverdue(long nowNanos) {
+        return nowNanos > deadlineNanos;
+    }
+
     /** Refuses the request for what its head tells. */
     void refuse() {
         request.refuse(refused.refusal(), refused.team());
--- a/daemon/src/main/java/org/knapweedhatch/front/RequestHeads.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/RequestHeads.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.Iterator;
 import java.util.Map;
-import java.util.Optional;
 import org.knapweedhatch.message.HeaderScheme;
 
 /** Reads what the head of a caller's request says of its size and time. */
@@ -31,12 +30,13 @@
         return bytes;
     }
 
-    /** Returns the time that the caller allows for the request; empty if it states none. */
-    static Optional<Duration> timeout(HttpRequest head, HeaderScheme scheme) {
+    /** Returns the time that a request may take: the shorter one of its route's and its caller's. */
+    static Duration timeout(HttpRequest head, HeaderScheme scheme, Duration routeTimeout) {
         String text = head.headers().get(scheme.deadlineMs());
         if (text == null || !text.matches("\\d{1,9}")) {
-            return Optional.empty();
+            return routeTimeout;
         }
-        return Optional.of(Duration.ofMillis(Long.parseLong(text)));
+        Duration wanted = Duration.ofMillis(Long.parseLong(text));
+        return wanted.compareTo(routeTimeout) < 0 ? wanted : routeTimeout;
     }
 }
--- a/daemon/src/test/java/org/knapweedhatch/front/ReceptionTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ReceptionTest.java
@@ -69,6 +69,29 @@
         }
     }
 
+    @Test
+    void bodyThatOutlastsTheTimeOfItsRequestIsRefused() throws IOException {
+        String deadline = HeaderScheme.defaults().deadlineMs() + ": 300\r\n";
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(head(FrontFixture.KEY, deadline + "Content-Length: 100\r\n") + "begun");
+            FrontFixture.Response response = caller.read();
+            assertEquals(408, response.status());
+            assertEquals("close", response.header("connection").orElse(""));
+        }
+        assertEquals(0, front.timesSent("/once/x"));
+    }
+
+    @Test
+    void bodyThatComesInTimeIsServed() throws IOException {
+        String deadline = HeaderScheme.defaults().deadlineMs() + ": 2500\r\n";
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            caller.send(head(FrontFixture.KEY, deadline + "Content-Length: 9\r\n") + "begun");
+            FrontFixture.sleep(1_200);
+            caller.send("done");
+            assertEquals(200, caller.read().status());
+        }
+    }
+
     @Test
     void hostThatLeavesRefusesRequestsBeforeTheirBodies() throws IOException {
         front.leave(Duration.ofMillis(1));
--- a/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
@@ -242,6 +242,17 @@
         assertServes();
     }
 
+    /** Guards against bodies that come a byte now and then for longer than their requests may take. */
+    @Test
+    void bodiesThatOutlastTheirRequestsTimeAreRefused() throws IOException {
+        crowd.trickle(UPLOADS, SMALL_BODY_BYTES, TRICKLED_BYTES, TRICKLE_PAUSE_MS);
+        callMeanwhile();
+        assertServes();
+        Threads.sleep(GRACE.plusSeconds(2).toMillis());
+        List<Integer> statuses = crowd.statuses();
+        assertTrue(Set.of(0, 408, 503).containsAll(statuses), statuses.toString());
+    }
+
     /** Guards against requests that are complete and wait for each other. */
     @Test
     void wholeBodiesAreAnsweredInTheEnd() throws IOException {
