Let unfinished heads make way for new connections at the callers' port

Callers saw: a new connection is closed at once while others hold every place with a part of a head. Cause: a connection counted as in use from the first byte of a head on, and only idle connections and stalled input made way; input counts as stalled only some seconds after its last byte. Change: where no connection is silent or idle, the one whose head has been incomplete for longest makes way. A head behind a response counts as well. Why it works: a head of an ordinary caller arrives in one piece or nearly so, and is never the oldest of a crowd's.

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -121,8 +121,10 @@
     void bytesReceived(int count) {
         bytesIn += count;
         if (!headStarted && receiving == null) {
+            if (isIdle()) {
+                server.callerConnections().markReceivingHead(this);
+            }
             headStarted = true;
-            server.callerConnections().markInUse(this);
             headStartNanos = server.context().time().nanos();
         }
     }
@@ -146,6 +148,7 @@
 
     private void startRequest(HttpRequest head) {
         headStarted = false;
+        server.callerConnections().markInUse(this);
         lastActiveNanos = server.context().time().nanos();
         long memory = RequestHeads.memoryOf(head);
         boolean reserved = undecoded.reserve(memory);
@@ -444,6 +447,8 @@
         if (isIdle()) {
             lastActiveNanos = server.context().time().nanos();
             server.callerConnections().markIdle(this);
+        } else if (pending.isEmpty() && unwrittenResponses == 0) {
+            server.callerConnections().markReceivingHead(this);
         }
     }
 
