Keep heap, direct memory and the virtual machine within the smallest machine together

Callers saw: the process is killed for its memory when a crowd first makes its heap grow and then sends large bodies. Cause: heap and direct memory were each bounded by themselves, at 160 MB, on machines of 282 MB; what a crowd made the heap grow to stays with the process. Evidence: CrowdInAProcessTest.aHostOfADeploymentStaysWithinItsMachineWhenACrowdChangesItsHabits on (-Xmx160m): 600 unfinished heads, then 8 bodies of 64 MiB and 32 slow readers: 285 MB resident of 282. A body that holds more than all others together no longer waits for memory: 64 MiB are more than the share from which on bodies wait.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -79,11 +79,13 @@
     private static final Duration SECOND_WATCHER_DELAY = Duration.ofSeconds(1);
 
     /**
-     * Share of the heap's limit, which is the default limit of direct memory too, that requests and responses may take;
-     * the rest is for buffers of reads, and for what the host holds besides requests.
+     * Share of the heap's limit, which is the default limit of direct memory too, that requests and responses may take
+     * unless the settings state a size; the rest is for buffers of reads, and for what the host holds besides requests.
      */
     private static final double BUFFER_MEMORY_SHARE = 0.6;
 
+    private static final long BYTES_PER_MB = 1 << 20;
+
     /** The goodbye to other hosts begins so long before requests are cut, since it takes this time. */
     private static final Duration GOODBYE = Duration.ofMillis(400);
 
@@ -458,7 +460,9 @@
 
     @Override
     public long bufferMemory() {
-        return (long) (Runtime.getRuntime().maxMemory() * BUFFER_MEMORY_SHARE);
+        return settings.bufferMb() > 0
+                ? settings.bufferMb() * BYTES_PER_MB
+                : (long) (Runtime.getRuntime().maxMemory() * BUFFER_MEMORY_SHARE);
     }
 
     @Override
--- a/daemon/src/main/java/org/knapweedhatch/daemon/Rehearsal.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/Rehearsal.java
@@ -68,6 +68,7 @@
         FrontSettings settings = new FrontSettings(
                 host,
                 ConnectionLimits.DEFAULT_DESCRIPTORS,
+                0,
                 addresses.get(2),
                 addresses.get(3),
                 addresses.get(4),
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -264,8 +264,7 @@
     /** Reads no more of a large body while there is little memory. */
     private void awaitMemory() {
         if (!waitsForMemory
-                && receiving.request().reservedBody() > MemoryBudget.SMALL_BYTES
-                && server.memory().isScarce()) {
+                && server.memory().isScarceFor(receiving.request().reservedBody())) {
             waitsForMemory = true;
             server.reclaimer().await(this);
             updateReading();
--- a/daemon/src/main/java/org/knapweedhatch/settings/FrontSettings.java
+++ b/daemon/src/main/java/org/knapweedhatch/settings/FrontSettings.java
@@ -29,6 +29,7 @@
  *
  * @param host this host: name, place, addresses and capacity
  * @param descriptors files and connections that the process may have open
+ * @param bufferMb megabytes that requests and responses may hold together; 0 for a share of the heap's limit
  * @param ready address at which the platform asks whether the host is ready
  * @param directory address at which callers ask which hosts to use
  * @param metrics address of the admin pages
@@ -45,6 +46,7 @@
 public record FrontSettings(
         Host host,
         int descriptors,
+        int bufferMb,
         Address ready,
         Address directory,
         Address metrics,
@@ -99,6 +101,7 @@
         return new FrontSettings(
                 host,
                 descriptors,
+                bufferMb,
                 ready,
                 directory,
                 metrics,
@@ -138,6 +141,7 @@
         FrontSettings settings = new FrontSettings(
                 host(host),
                 (int) host.whole("descriptors", LEAST_DESCRIPTORS, (long) MOST, ConnectionLimits.DEFAULT_DESCRIPTORS),
+                (int) host.whole("buffer-mb", 0, (long) MOST, 0),
                 listen.address("ready"),
                 listen.address("directory"),
                 listen.address("metrics"),
--- a/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
@@ -43,8 +43,6 @@
     private static final int DESCRIPTORS = 400;
     private static final int BODY_BYTES = 8 << 20;
 
-    private static final int DEPLOYED_HEAP_MB = 160;
-
     /** Memory of the smallest machine of a deployment. */
     private static final int DEPLOYED_MB = 282;
 
@@ -129,7 +127,7 @@
         Address address = new Address(store.uri().getHost(), store.uri().getPort());
         host = HostProcess.create(folder, List.of("host-0"), address, GRACE).get(0);
         if (bodyBytes == DEPLOYED_BODY_BYTES) {
-            host.heapMb(DEPLOYED_HEAP_MB).memoryMb(DEPLOYED_MB).descriptors(DEPLOYED_DESCRIPTORS);
+            host.deployedMemory().memoryMb(DEPLOYED_MB).descriptors(DEPLOYED_DESCRIPTORS);
         } else {
             host.heapMb(HEAP_MB).descriptors(DESCRIPTORS);
         }
@@ -265,6 +263,29 @@
         assertFalse(statuses.contains(Crowd.PENDING), statuses.toString());
     }
 
+    /** Guards against a heap that grew with unfinished heads, beside which large bodies pass the machine's memory. */
+    @Test
+    void aHostOfADeploymentStaysWithinItsMachineWhenACrowdChangesItsHabits() throws IOException {
+        startAsDeployed();
+        crowd.sendUnfinishedHeads(2 * UNFINISHED);
+        callMeanwhile();
+        crowd.settle(SETTLE_MS);
+        crowd.upload(DEPLOYED_UPLOADS, DEPLOYED_BODY_BYTES, 1, false);
+        crowd.askWithoutReading(SLOW_READERS);
+        callMeanwhile();
+        crowd.settle(SETTLE_MS);
+        assertServes(DEPLOYED_MB);
+        crowd.close();
+        Threads.sleep(SETTLE_MS);
+        try (Crowd single = new Crowd(host.edge(), Crowd.Heads.of(scheme, ExampleEntries.KEY))) {
+            single.upload(1, DEPLOYED_BODY_BYTES, 0, false);
+            single.settle(SETTLE_MS);
+            Threads.sleep(FILL_MS);
+            assertEquals(List.of(200), single.statuses());
+        }
+        assertServes(DEPLOYED_MB);
+    }
+
     /** Guards against descriptors that one door takes from the others. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
