Crowds and faults of the store in the soak

Crowds come and go at every door of the hosts (silent connections, unfinished heads and bodies, slow bodies, unknown keys, heads at the pages and at the port between hosts), three at once for each four hosts, and the store is down, slow or loses answers, beside the stops, kills, reloads and new configurations of before. Their random numbers are their own, so the schedule of the stops stays as it was for each seed. New checks: no host ends by itself, none passes 282 MB or 4,096 descriptors; hosts run with the limits of a deployment.

--- a/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.knapweedhatch.fault.Result;
 import org.knapweedhatch.message.HeaderScheme;
 import org.knapweedhatch.platform.MemoryPlatform;
 import org.knapweedhatch.platform.StoredObject;
@@ -31,7 +32,7 @@
 
 /**
  * Hosts as real processes that are stopped, told to reload, killed and started again, also several at once, while
- * callers keep their connections and the configuration changes.
+ * callers keep their connections, crowds of other clients come and go, the store fails and the configuration changes.
  *
  * <p>{@code -Dsoak.seeds=1-50} plays other seeds, {@code -Dsoak.hosts=40} more hosts, {@code -Dsoak.seconds=60} longer.
  */
@@ -53,6 +54,14 @@
             8L, "hosts outlasted their grace period: the goodbye and the exit of the JVM took more than the margin");
 
     private static final int SLOTS = 5;
+    private static final int HOSTS_PER_CROWD_SERIES = 4;
+
+    /** Memory of the smallest machine of a deployment, in megabytes. */
+    private static final int MAX_RESIDENT_MB = 282;
+
+    /** Limit of descriptors in the settings of the hosts. */
+    private static final int MAX_DESCRIPTORS = 4_096;
+
     private static final int[] NOT_RUN = {408, 421, 429, 503};
 
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
@@ -96,16 +105,25 @@
                     IntStream.range(0, hostCount).mapToObj(i -> "host-" + i).toList();
             hosts.addAll(HostProcess.create(folder, names, address, GRACE));
             for (HostProcess host : hosts) {
-                host.start();
+                host.deployedMemory().start();
             }
             hosts.forEach(HostProcess::awaitReady);
             List<Thread> callers = startCallers(random);
+            // Random numbers of their own: the schedule of the stops stays as it was.
+            SplittableRandom others = new SplittableRandom(~seed);
+            for (int i = 0; i < hostCount; i += HOSTS_PER_CROWD_SERIES) {
+                SoakCrowds crowds = new SoakCrowds(hosts, scheme, others.split(), calls::get);
+                callers.add(Threads.start("crowds", crowds::run));
+            }
+            SplittableRandom faults = others.split();
+            callers.add(Threads.start("store-faults", () -> disturbStore(faults, platform)));
             disturb(random, platform);
             calls.set(false);
             for (Thread caller : callers) {
                 join(caller);
             }
             checkRuns();
+            checkHosts();
             assertEquals(List.of(), broken, describe(seed));
             assertTrue(
                     attempts.values().stream().anyMatch(request -> request.status() == 200), "no request was answered");
@@ -127,8 +145,11 @@
         if (configurations == 1) {
             platform.create(next.name(), next.body());
         } else {
-            long version = platform.read(next.name()).orThrow().version();
-            platform.update(next.name(), next.body(), version);
+            Result<StoredObject> stored = platform.read(next.name());
+            // The operator cannot write either while the store is down.
+            if (stored.isOk()) {
+                platform.update(next.name(), next.body(), stored.orThrow().version());
+            }
         }
     }
 
@@ -168,6 +189,39 @@
         stops.forEach(PlannedStopSoakTest::join);
     }
 
+    /** Lets the store fail now and then, in one way or in several at once. */
+    private void disturbStore(SplittableRandom random, MemoryPlatform platform) {
+        while (calls.get()) {
+            Threads.sleep(random.nextLong(500, 4_000));
+            int ways = random.nextInt(1, 8);
+            if ((ways & 1) != 0) {
+                platform.setDown(true);
+            }
+            if ((ways & 2) != 0) {
+                platform.setDelay(Duration.ofMillis(random.nextLong(50, 800)));
+            }
+            if ((ways & 4) != 0) {
+                platform.loseResponses(random.nextInt(1, 4));
+            }
+            Threads.sleep(random.nextLong(200, 3_000));
+            platform.setDown(false);
+            platform.setDelay(Duration.ZERO);
+            platform.loseResponses(0);
+        }
+    }
+
+    /** Checks that every host still runs, inside the bounds of memory and descriptors. */
+    private void checkHosts() throws IOException {
+        for (HostProcess host : hosts) {
+            if (!host.isAlive()) {
+                broken.add(host.name() + " ended by itself");
+            } else if (host.residentPeakMb() > MAX_RESIDENT_MB || host.openDescriptors() > MAX_DESCRIPTORS) {
+                broken.add(host.name() + " has had " + host.residentPeakMb() + " MB and has " + host.openDescriptors()
+                        + " descriptors");
+            }
+        }
+    }
+
     private HostProcess anyHost(SplittableRandom random) {
         return hosts.get(random.nextInt(hosts.size()));
     }
