Let idle connections give up their memory for requests at the listeners

Callers would see: 503 for lack of memory at the pages while hundreds of idle connections hold 8 KiB each, since a connection that was used before counted as one that must not be dropped; found by reading, 555 of them nearly filled the 5 % of the heap's limit that the pages had. Change: where nothing is stalled and no head is incomplete, the longest idle connection gives up its memory. The pages have 10 % of the heap's limit. Bytes that Undertow moves from channel to channel count as progress too. Why it works: a request in progress is worth more than a connection that waits for its next one, whose client opens another.

--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontPages.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontPages.java
@@ -38,7 +38,7 @@
     private static final int IDLE_TIMEOUT_MS = 15_000;
 
     /** Share of the heap's limit that the clients of all pages may hold together. */
-    private static final double MEMORY_SHARE = 0.05;
+    private static final double MEMORY_SHARE = 0.1;
 
     private final HttpListeners server;
     private final BooleanSupplier ready;
--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -263,8 +263,7 @@
 
     /** Reads no more of a large body while there is little memory. */
     private void awaitMemory() {
-        if (!waitsForMemory
-                && server.memory().isScarceFor(receiving.request().reservedBody())) {
+        if (!waitsForMemory && server.memory().isScarceFor(receiving.request().reservedBody())) {
             waitsForMemory = true;
             server.reclaimer().await(this);
             updateReading();
--- a/daemon/src/main/java/org/knapweedhatch/listen/ConnectionGuard.java
+++ b/daemon/src/main/java/org/knapweedhatch/listen/ConnectionGuard.java
@@ -48,12 +48,7 @@
     boolean admit(GuardedConnection added) {
         connections.add(added).ifPresent(evicted -> close(evicted, Cause.ROOM));
         if (added.isOpen() && !added.reserve(GuardedConnection.CONNECTION_BYTES)) {
-            // Nothing is stalled, so the memory belongs to requests in progress and to idle connections.
-            Optional<GuardedConnection> idle = connections.removeLongestIdle();
-            idle.ifPresent(evicted -> close(evicted, Cause.MEMORY));
-            if (added.isOpen() && !added.reserve(GuardedConnection.CONNECTION_BYTES)) {
-                close(added, Cause.MEMORY);
-            }
+            close(added, Cause.MEMORY);
         }
         return added.isOpen();
     }
@@ -61,7 +56,9 @@
     /** Reserves memory for a connection that holds {@code held} bytes; others may have to give up theirs. */
     boolean reserve(GuardedConnection connection, long bytes, long held) {
         while (!memory.tryReserve(bytes, held)) {
-            boolean reclaimed = reclaimer.reclaim(held + bytes) || dropLongestHead(connection);
+            boolean reclaimed = reclaimer.reclaim(held + bytes)
+                    || dropFor(connection, connections.longestIncompleteHead())
+                    || dropFor(connection, connections.removeLongestIdle());
             if (!reclaimed || !connection.isOpen()) {
                 return false;
             }
@@ -69,12 +66,11 @@
         return true;
     }
 
-    /** Closes the connection whose head has been incomplete for longest, as a head usually arrives at once. */
-    private boolean dropLongestHead(GuardedConnection wanting) {
-        Optional<GuardedConnection> longest =
-                connections.longestIncompleteHead().filter(connection -> connection != wanting);
-        longest.ifPresent(connection -> close(connection, Cause.MEMORY));
-        return longest.isPresent();
+    /** Closes a connection for another one that wants memory; returns false if there is none but that one. */
+    private boolean dropFor(GuardedConnection wanting, Optional<GuardedConnection> candidate) {
+        Optional<GuardedConnection> other = candidate.filter(connection -> connection != wanting);
+        other.ifPresent(connection -> close(connection, Cause.MEMORY));
+        return other.isPresent();
     }
 
     void release(long bytes) {
--- a/daemon/src/main/java/org/knapweedhatch/listen/GuardedConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/listen/GuardedConnection.java
@@ -14,6 +14,8 @@
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.AbstractStreamSinkConduit;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSinkConduit;
@@ -242,6 +244,13 @@
             received((int) count);
             return count;
         }
+
+        @Override
+        public long transferTo(long most, ByteBuffer through, StreamSinkChannel target) throws IOException {
+            long count = super.transferTo(most, through, target);
+            received((int) count);
+            return count;
+        }
     }
 
     /** Counts what is written. */
@@ -265,6 +274,13 @@
             return count;
         }
 
+        @Override
+        public long transferFrom(StreamSourceChannel source, long most, ByteBuffer through) throws IOException {
+            long count = super.transferFrom(source, most, through);
+            sent(count, through.hasRemaining());
+            return count;
+        }
+
         @Override
         public int writeFinal(ByteBuffer source) throws IOException {
             boolean wanted = source.hasRemaining();
--- a/daemon/src/test/java/org/knapweedhatch/listen/HttpListenersTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/listen/HttpListenersTest.java
@@ -127,6 +127,16 @@
         assertEquals(200, status(connect(HEAD + "\r\n")));
     }
 
+    @Test
+    void idleConnectionsGiveUpTheirMemoryForRequests() throws IOException {
+        for (int i = 0; i < CONNECTIONS; i++) {
+            assertEquals(200, status(connect(HEAD + "\r\n")));
+        }
+        handler = exchange -> exchange.setStatusCode(RequestMemory.reserve(exchange, MEMORY * 3 / 4) ? 200 : 503);
+        assertEquals(200, status(connect(HEAD + "\r\n")));
+        assertTrue(listeners.droppedForMemory() > 0);
+    }
+
     @Test
     void memoryIsReturnedWhenClientsLeave() throws IOException {
         connect("");
