--- a/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
@@ -286,14 +286,15 @@
         assertServes(DEPLOYED_MB);
     }
 
-    /** Guards against descriptors that one door takes from the others. */
+    /** Guards against descriptors that one listener takes from the others. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
-    void callersAreAnsweredBesideCrowdsAtEveryDoor(boolean halfLeave) throws IOException {
-        HostProcess.Doors doors = host.doors();
+    void callersAreAnsweredBesideCrowdsAtEveryAddress(boolean halfLeave) throws IOException {
+        HostProcess.Addresses addresses = host.addresses();
         List<Crowd> crowds = new ArrayList<>();
-        for (Address door : List.of(doors.edge(), doors.peer(), doors.ready(), doors.directory(), doors.metrics())) {
-            Crowd silent = new Crowd(door, Crowd.Heads.of(scheme, ExampleEntries.KEY));
+        for (Address address : List.of(
+                addresses.edge(), addresses.peer(), addresses.ready(), addresses.directory(), addresses.metrics())) {
+            Crowd silent = new Crowd(address, Crowd.Heads.of(scheme, ExampleEntries.KEY));
             crowds.add(silent);
             silent.connectSilently(SILENT / 2);
             if (halfLeave) {
@@ -313,10 +314,10 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void pagesAreAnsweredBesideACrowdThatAsksForThem(boolean unfinished) throws IOException {
-        HostProcess.Doors doors = host.doors();
+        HostProcess.Addresses addresses = host.addresses();
         List<Crowd> crowds = new ArrayList<>();
-        for (Address door : List.of(doors.ready(), doors.directory(), doors.metrics())) {
-            Crowd pages = new Crowd(door, (method, name, id) -> "GET /-/metrics HTTP/1.1\r\nHost: a.example\r\n");
+        for (Address address : List.of(addresses.ready(), addresses.directory(), addresses.metrics())) {
+            Crowd pages = new Crowd(address, (method, name, id) -> "GET /-/metrics HTTP/1.1\r\nHost: a.example\r\n");
             crowds.add(pages);
             if (unfinished) {
                 pages.sendUnfinishedHeads(UNFINISHED, "X-Long: " + "a".repeat(PAGE_HEAD_BYTES));
@@ -376,13 +377,13 @@
         assertTrue(descriptors <= limit, descriptors + " descriptors");
     }
 
-    /** Asks once, and once more if a door made room for others meanwhile. */
+    /** Asks once, and once more if the listener made room for others meanwhile. */
     private int lookUp() {
         String path = DirectoryAnswer.LOOK_UP_PATH + "?" + DirectoryAnswer.REGION + "=lima&" + DirectoryAnswer.DOMAIN
                 + "=lima-a";
         String request = "GET " + path + " HTTP/1.1\r\nHost: " + ExampleEntries.HOST + "\r\n\r\n";
-        int status = ask(host.doors().directory(), request);
-        return status == 200 ? status : ask(host.doors().directory(), request);
+        int status = ask(host.addresses().directory(), request);
+        return status == 200 ? status : ask(host.addresses().directory(), request);
     }
 
     private int call(String id) {
--- a/daemon/src/test/java/org/knapweedhatch/soak/HostProcess.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/HostProcess.java
@@ -23,12 +23,12 @@
     private static final Duration START = Duration.ofSeconds(60);
 
     /** Addresses and the path at which a host says whether it takes requests. */
-    record Doors(Address edge, Address peer, Address ready, String readyPath, Address directory, Address metrics) {}
+    record Addresses(Address edge, Address peer, Address ready, String readyPath, Address directory, Address metrics) {}
 
     private final String name;
     private final Path settings;
     private final Path output;
-    private final Doors doors;
+    private final Addresses addresses;
     private List<String> memoryFlags = List.of("-Xmx160m");
     /** Limit of descriptors that the system sets the process; 0 for none. */
     private int systemDescriptors;
@@ -37,9 +37,9 @@
     private volatile long startNanos;
     private volatile long stopNanos;
 
-    private HostProcess(String name, Path folder, Doors doors) {
+    private HostProcess(String name, Path folder, Addresses addresses) {
         this.name = name;
-        this.doors = doors;
+        this.addresses = addresses;
         settings = folder.resolve(name + ".ini");
         output = folder.resolve(name + ".log");
     }
@@ -53,14 +53,14 @@
         for (int i = 0; i < names.size(); i++) {
             List<Integer> own = ports.subList(i * 5, i * 5 + 5);
             String name = names.get(i);
-            Doors doors = new Doors(
+            Addresses addresses = new Addresses(
                     local(own.get(0)),
                     local(own.get(1)),
                     local(own.get(2)),
                     DirectoryAnswer.READY_PATH,
                     local(own.get(3)),
                     local(own.get(4)));
-            HostProcess host = new HostProcess(name, folder, doors);
+            HostProcess host = new HostProcess(name, folder, addresses);
             Files.write(
                     host.settings,
                     List.of(
@@ -96,8 +96,8 @@
             throws IOException {
         List<Integer> ports = freePorts(2);
         Address edge = local(ports.get(0));
-        Doors doors = new Doors(edge, local(ports.get(1)), edge, "/-/ready", edge, edge);
-        HostProcess host = new HostProcess("entry-host", folder, doors);
+        Addresses addresses = new Addresses(edge, local(ports.get(1)), edge, "/-/ready", edge, edge);
+        HostProcess host = new HostProcess("entry-host", folder, addresses);
         Files.write(
                 host.settings,
                 List.of(
@@ -105,8 +105,8 @@
                         "name = entry-host",
                         "region = lima",
                         "failure-domain = lima-a",
-                        "edge = " + doors.edge(),
-                        "peer = " + doors.peer(),
+                        "edge = " + addresses.edge(),
+                        "peer = " + addresses.peer(),
                         "[platform]",
                         "address = " + platform,
                         "[fleet]",
@@ -202,11 +202,11 @@
     }
 
     Address edge() {
-        return doors.edge();
+        return addresses.edge();
     }
 
-    Doors doors() {
-        return doors;
+    Addresses addresses() {
+        return addresses;
     }
 
     /** Returns when the process was started last, as a reading of {@link System#nanoTime}. */
@@ -263,9 +263,10 @@
     /** Returns whether the host says that it takes requests. */
     boolean isReady() {
         try {
-            HttpURLConnection connection = (HttpURLConnection) URI.create("http://" + doors.ready() + doors.readyPath())
-                    .toURL()
-                    .openConnection();
+            HttpURLConnection connection =
+                    (HttpURLConnection) URI.create("http://" + addresses.ready() + addresses.readyPath())
+                            .toURL()
+                            .openConnection();
             connection.setConnectTimeout(500);
             connection.setReadTimeout(500);
             return connection.getResponseCode() == 200;
--- a/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
@@ -109,7 +109,7 @@
             }
             hosts.forEach(HostProcess::awaitReady);
             List<Thread> callers = startCallers(random);
-            // Random numbers of their own: the schedule of the stops stays as it was.
+            // A generator of its own keeps the schedule of the stops for each seed.
             SplittableRandom others = new SplittableRandom(~seed);
             for (int i = 0; i < hostCount; i += HOSTS_PER_CROWD_SERIES) {
                 SoakCrowds crowds = new SoakCrowds(hosts, scheme, others.split(), calls::get);
--- a/daemon/src/test/java/org/knapweedhatch/soak/SoakCrowds.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/SoakCrowds.java
@@ -60,16 +60,16 @@
             }
 
             @Override
-            Address door(HostProcess.Doors doors, SplittableRandom random) {
-                return List.of(doors.ready(), doors.directory(), doors.metrics(), doors.peer())
+            Address address(HostProcess.Addresses addresses, SplittableRandom random) {
+                return List.of(addresses.ready(), addresses.directory(), addresses.metrics(), addresses.peer())
                         .get(random.nextInt(4));
             }
         };
 
         abstract void come(Crowd crowd, SplittableRandom random) throws IOException;
 
-        Address door(HostProcess.Doors doors, SplittableRandom random) {
-            return doors.edge();
+        Address address(HostProcess.Addresses addresses, SplittableRandom random) {
+            return addresses.edge();
         }
     }
 
@@ -89,12 +89,12 @@
         Deque<Crowd> present = new ArrayDeque<>();
         try {
             while (goesOn.getAsBoolean()) {
-                HostProcess.Doors doors =
-                        hosts.get(random.nextInt(hosts.size())).doors();
+                HostProcess.Addresses addresses =
+                        hosts.get(random.nextInt(hosts.size())).addresses();
                 Habit habit = Habit.values()[random.nextInt(Habit.values().length)];
                 // A key that no configuration has is refused by the head.
                 String key = random.nextInt(4) == 0 ? "unknown-key" : ExampleEntries.KEY;
-                Crowd crowd = new Crowd(habit.door(doors, random), Crowd.Heads.of(scheme, key));
+                Crowd crowd = new Crowd(habit.address(addresses, random), Crowd.Heads.of(scheme, key));
                 present.addLast(crowd);
                 habit.come(crowd, random.split());
                 Threads.sleep(random.nextLong(200, 2_000));
