Let the stand-in of an early response go on serving its connection

Cause, in the test: where the host has sent the whole body before it reads the early response, it may use the connection again, and does; but the stand-in took all further bytes for the body, the next request included, and never answered it. Change: the stand-in takes as many bytes as the request announced and then serves the next request. As strict as before: every byte of the rest is still compared, also before a reset, and bytes in place of the next request leave it without an answer.

--- a/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ScriptedTarget.java
@@ -233,8 +233,8 @@
             }
             case "early-whole" -> {
                 write(out, whole(200, id, "whole"));
-                caller.getInputStream().transferTo(rest);
-                return false;
+                // The host may have sent all of the body before it reads the response; then it goes on here.
+                readRest(caller.getInputStream(), Integer.parseInt(request.header("content-length")));
             }
             case "hold" -> hold(caller, out, id, request);
             case "wait" -> {
@@ -333,6 +333,20 @@
         return whole(200, id, "4\r\nhalf\r\n").replaceFirst("Content-Length: \\d+", "Transfer-Encoding: chunked");
     }
 
+    /** Keeps what follows a head, up to a length; also the bytes before a reset. */
+    private void readRest(InputStream in, int length) throws IOException {
+        byte[] part = new byte[8_192];
+        int left = length;
+        while (left > 0) {
+            int count = in.read(part, 0, Math.min(left, part.length));
+            if (count < 0) {
+                return;
+            }
+            rest.write(part, 0, count);
+            left -= count;
+        }
+    }
+
     /** Returns the bytes that followed the head of a request that was answered early. */
     byte[] rest() {
         return rest.toByteArray();
