--- a/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
@@ -101,14 +101,17 @@
     private EndlessTarget target;
     private HostProcess host;
     private Crowd crowd;
+    /** Limit of descriptors in the settings of the host. */
+    private int descriptors = DESCRIPTORS;
 
     @BeforeEach
     void start() throws IOException {
         start(BODY_BYTES);
     }
 
-    private void startAsDeployed() throws IOException {
+    private void startAsDeployed(int limit) throws IOException {
         stop();
+        descriptors = limit;
         start(DEPLOYED_BODY_BYTES);
     }
 
@@ -127,9 +130,9 @@
         Address address = new Address(store.uri().getHost(), store.uri().getPort());
         host = HostProcess.create(folder, List.of("host-0"), address, GRACE).get(0);
         if (bodyBytes == DEPLOYED_BODY_BYTES) {
-            host.deployedMemory().memoryMb(DEPLOYED_MB).descriptors(DEPLOYED_DESCRIPTORS);
+            host.deployedMemory().memoryMb(DEPLOYED_MB).descriptors(descriptors);
         } else {
-            host.heapMb(HEAP_MB).descriptors(DESCRIPTORS);
+            host.heapMb(HEAP_MB).descriptors(descriptors);
         }
         host.start();
         host.awaitReady();
@@ -210,7 +213,7 @@
     /** Guards against limits that leave no room for the largest body, or for the rest of the machine. */
     @Test
     void aHostOfADeploymentServesTheLargestBodyAndStaysWithinItsMachine() throws IOException {
-        startAsDeployed();
+        startAsDeployed(DESCRIPTORS);
         crowd.upload(1, DEPLOYED_BODY_BYTES, 0, false);
         crowd.settle(SETTLE_MS);
         Threads.sleep(FILL_MS);
@@ -266,7 +269,7 @@
     /** Guards against a heap that grew with unfinished heads, beside which large bodies pass the machine's memory. */
     @Test
     void aHostOfADeploymentStaysWithinItsMachineWhenACrowdChangesItsHabits() throws IOException {
-        startAsDeployed();
+        startAsDeployed(DEPLOYED_DESCRIPTORS);
         crowd.sendUnfinishedHeads(2 * UNFINISHED);
         callMeanwhile();
         crowd.settle(SETTLE_MS);
@@ -372,9 +375,8 @@
         assertEquals(200, status);
         long residentMb = host.residentPeakMb();
         assertTrue(residentMb <= maxMb, residentMb + " MB");
-        long descriptors = host.openDescriptors();
-        int limit = maxMb == DEPLOYED_MB ? DEPLOYED_DESCRIPTORS : DESCRIPTORS;
-        assertTrue(descriptors <= limit, descriptors + " descriptors");
+        long open = host.openDescriptors();
+        assertTrue(open <= descriptors, open + " descriptors");
     }
 
     /** Asks once, and once more if the listener made room for others meanwhile. */
