Close connections without a request at the end of a stop

A request that had arrived but was not read when the stop cut was dropped without a response.

Cause: abortRequests ended the requests in progress only, and left every other connection open until the event loop ended; its input was ignored.

Change: pending input is read first, so that what has arrived is refused as not run. Connections with nothing to send are closed, those with an incomplete head with a response (503, leaving). The lingering close of a connection is in a class of its own.

--- a/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/CallerConnection.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpContent;
@@ -29,7 +28,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.knapweedhatch.answer.Reason;
 import org.knapweedhatch.answer.Refusal;
 import org.knapweedhatch.log.LineKind;
@@ -57,12 +55,6 @@
     /** A caller's next request may be on its way for so long after the connection was opened or used. */
     private static final Duration MIN_IDLE_BEFORE_CLOSE = Duration.ofMillis(250);
 
-    /**
-     * How long input is still read after the last response: closing with unread input resets the connection, and the
-     * caller might lose that response.
-     */
-    private static final Duration LINGER = Duration.ofSeconds(1);
-
     /** Refusal for memory; most requests at targets return theirs until the caller is to come back. */
     private static final Refusal NO_MEMORY = Refusal.of(Reason.NO_MEMORY).retryAfter(Duration.ofMillis(500));
 
@@ -464,11 +456,8 @@
 
     /** Ends the output after the last response, and closes once the caller has done so too. */
     private void closeAfterInput(Future<?> written) {
-        if (written.isSuccess() && context.channel() instanceof SocketChannel socket) {
-            lingering = true;
-            socket.shutdownOutput();
-            context.channel().eventLoop().schedule(this::close, LINGER.toMillis(), TimeUnit.MILLISECONDS);
-        } else {
+        lingering = written.isSuccess() && LingeringClose.begin(context.channel());
+        if (!lingering) {
             close();
         }
     }
@@ -496,13 +485,7 @@
         if (headStarted
                 && receiving == null
                 && nowNanos - headStartNanos > limits.headerTimeout().toNanos()) {
-            headStarted = false;
-            inputIgnored = true;
-            if (pending.isEmpty()) {
-                context.writeAndFlush(ProblemResponses.closing(
-                                Reason.HEAD_TOO_SLOW, server.context().headerScheme()))
-                        .addListener(ChannelFutureListener.CLOSE);
-            }
+            endIncompleteHead(Reason.HEAD_TOO_SLOW);
             return;
         }
         long unsent = unsentBytes();
@@ -520,6 +503,17 @@
         }
     }
 
+    /** Takes in no more of a head; responds and closes at once unless requests before it are in progress. */
+    private void endIncompleteHead(Reason reason) {
+        headStarted = false;
+        inputIgnored = true;
+        if (pending.isEmpty()) {
+            context.writeAndFlush(
+                            ProblemResponses.closing(reason, server.context().headerScheme()))
+                    .addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
     /** Refuses a request whose body stopped, or cannot come in time any more. */
     private void sweepBody(long nowNanos, long idleNanos) {
         if (receiving != null
@@ -537,12 +531,20 @@
 
     /**
      * Ends the requests in progress as the host stops, so that each has a response and those behind it that are ready
-     * are written too. The connection closes after the last one.
+     * are written too. The connection closes after the last one; at once if there is none.
      */
     void abortRequests() {
+        readPendingInput();
         receiving = null;
         inputIgnored = true;
         List.copyOf(pending).forEach(CallerRequest::abort);
+        if (!lingering && pending.isEmpty() && unwrittenResponses == 0) {
+            if (headStarted) {
+                endIncompleteHead(Reason.LEAVING);
+            } else {
+                close();
+            }
+        }
     }
 
     /** Logs what the connection still carries when it is cut. */
--- a/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/PlannedStopTest.java
@@ -171,6 +171,48 @@
         }
     }
 
+    /** Guards against a stop that waits for clients which have no request, so that the process outlasts its grace. */
+    @Test
+    void connectionsWithoutARequestAreClosedAtTheEndOfAStop() throws Exception {
+        try (FrontFixture.Caller idle = front.new Caller();
+                FrontFixture.Caller incomplete = front.new Caller()) {
+            idle.send(get("/safe/1", "id-1"));
+            assertEquals(200, idle.read().status());
+            incomplete.send("GET /safe/2 HTTP/1.1\r\nHost: ");
+            FrontFixture.await("accepted", () -> front.server().openConnections() == 2);
+            FrontFixture.sleep(PAUSE_MS);
+            front.leave();
+            front.server().stop();
+            FrontFixture.Response last = incomplete.read();
+            assertEquals(503, last.status());
+            assertEquals(Optional.of("close"), last.header("Connection"));
+            assertTrue(incomplete.isClosedByServer());
+            assertTrue(idle.isClosedByServer());
+        }
+        assertFalse(front.logText().contains("\"event\":\"cut\""), front.logText());
+    }
+
+    /** Guards against losing a request that has arrived when the host stops, but was not read yet. */
+    @Test
+    void requestThatWaitsToBeReadAtTheEndOfAStopIsRefusedAsNotRun() throws Exception {
+        try (FrontFixture.Caller caller = front.new Caller()) {
+            FrontFixture.await("accepted", () -> front.server().openConnections() == 1);
+            front.leave();
+            CountDownLatch sent = new CountDownLatch(1);
+            front.server().execute(() -> FrontFixture.await(sent));
+            CompletableFuture<Void> stopped =
+                    CompletableFuture.runAsync(() -> front.server().stop());
+            FrontFixture.sleep(PAUSE_MS);
+            caller.send(get("/safe/unread", "id-1"));
+            FrontFixture.sleep(PAUSE_MS);
+            sent.countDown();
+            assertEquals(503, caller.read().status());
+            assertTrue(caller.isClosedByServer());
+            stopped.join();
+        }
+        assertEquals(0, requestsSentToTargets());
+    }
+
     private static void assertRefusedForOtherHosts(FrontFixture.Caller caller) throws IOException {
         FrontFixture.Response refusal = caller.read();
         assertEquals(503, refusal.status());
