Keep connections that have greeted before silent ones at the peer port

A host whose connection was accepted beside a crowd of silent ones lost it between its greeting and its proof, a round trip later, as the oldest connection without a proof made room.

Change: silent connections make room first. Those that have sent a greeting, which anyone can send, keep half of the room at most.

Result: aHostThatHasGreetedProvesItselfBesideManySilentConnections failed before ("never came true: proved", the proof came on a closed connection) and passes now; three new cases of UnprovedConnectionsTest.

--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerChannel.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerChannel.java
@@ -155,6 +155,7 @@
         }
         phase = Phase.PROVING;
         if (!dialled()) {
+            transport.unproved().markGreeted(this);
             greet();
             prove();
         }
--- a/daemon/src/test/java/org/knapweedhatch/peer/PeerTransportTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/peer/PeerTransportTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.protobuf.ByteString;
+import com.google.protobuf.MessageLite;
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -21,6 +24,9 @@
 import org.junit.jupiter.api.Test;
 import org.knapweedhatch.member.MemberMessage;
 import org.knapweedhatch.message.OutgoingMessage;
+import org.knapweedhatch.peer.proto.Envelope;
+import org.knapweedhatch.peer.proto.HelloRecord;
+import org.knapweedhatch.peer.proto.ProofRecord;
 import org.knapweedhatch.world.Host;
 
 class PeerTransportTest {
@@ -182,4 +188,59 @@
             }
         }
     }
+
+    /** Guards against silent connections that end the one of a host which is about to prove itself. */
+    @Test
+    void aHostThatHasGreetedProvesItselfBesideManySilentConnections() throws IOException {
+        PeerTransport receiver = start("b", SECRET, 1);
+        List<Socket> silent = new ArrayList<>();
+        try (Socket greeted = connect()) {
+            greeted.setSoTimeout(20_000);
+            HelloRecord hello = HelloRecord.newBuilder()
+                    .setFrom("a")
+                    .setIncarnation(1)
+                    .setNonce(ByteString.copyFrom(new byte[Handshake.NONCE_BYTES]))
+                    .build();
+            write(greeted, WireKind.HELLO, hello);
+            HelloRecord answer = HelloRecord.parseFrom(read(greeted).getBody());
+            for (int i = 0; i < 2 * Limits.UNPROVED; i++) {
+                silent.add(connect());
+            }
+            Hosts.await("rejected", () -> receiver.counters().read().get("connections.rejected") >= Limits.UNPROVED);
+            byte[] secret = SECRET.getBytes(StandardCharsets.UTF_8);
+            ByteString proof = Handshake.proof(secret, Handshake.Role.DIALLER, hello, answer);
+            write(
+                    greeted,
+                    WireKind.PROOF,
+                    ProofRecord.newBuilder().setMac(proof).build());
+            Hosts.await("proved", () -> receiver.counters().read().get("connections.made") == 1);
+        } finally {
+            for (Socket socket : silent) {
+                socket.close();
+            }
+        }
+    }
+
+    private Socket connect() throws IOException {
+        return new Socket(host("b").peer().ip(), host("b").peer().port());
+    }
+
+    private static void write(Socket socket, int kind, MessageLite record) throws IOException {
+        byte[] envelope = Envelope.newBuilder()
+                .setKind(kind)
+                .setBody(record.toByteString())
+                .build()
+                .toByteArray();
+        byte[] frame = new byte[Limits.LENGTH_BYTES + envelope.length];
+        frame[1] = (byte) (envelope.length >> Byte.SIZE);
+        frame[2] = (byte) envelope.length;
+        System.arraycopy(envelope, 0, frame, Limits.LENGTH_BYTES, envelope.length);
+        socket.getOutputStream().write(frame);
+    }
+
+    private static Envelope read(Socket socket) throws IOException {
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        int length = in.readUnsignedByte() << 2 * Byte.SIZE | in.readUnsignedShort();
+        return Envelope.parseFrom(in.readNBytes(length));
+    }
 }
--- a/daemon/src/test/java/org/knapweedhatch/peer/UnprovedConnectionsTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/peer/UnprovedConnectionsTest.java
@@ -25,4 +25,31 @@
         unproved.add("b");
         assertEquals(Optional.empty(), unproved.add("c"));
     }
+
+    @Test
+    void silentOnesMakeRoomBeforeOneThatHasGreeted() {
+        unproved.add("a");
+        unproved.markGreeted("a");
+        unproved.add("b");
+        assertEquals(Optional.of("b"), unproved.add("c"));
+        assertEquals(Optional.of("c"), unproved.add("d"));
+    }
+
+    /** Guards against greetings without a proof behind them that leave no time to others. */
+    @Test
+    void onesThatHaveGreetedKeepHalfOfTheRoomAtMost() {
+        unproved.add("a");
+        unproved.markGreeted("a");
+        unproved.add("b");
+        unproved.markGreeted("b");
+        assertEquals(Optional.of("a"), unproved.add("c"));
+    }
+
+    @Test
+    void aClosedConnectionThatHasGreetedTakesNoRoom() {
+        unproved.add("a");
+        unproved.remove("a");
+        unproved.markGreeted("a");
+        assertEquals(0, unproved.size());
+    }
 }
