--- a/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
@@ -75,6 +75,11 @@
 
     private static final int WHOLE_BODY_BYTES = 4 << 20;
 
+    /** Fewer than the connections that callers may have in a deployment. */
+    private static final int WAITING_BODIES = 800;
+
+    private static final int WAITING_BODY_BYTES = 1 << 20;
+
     /** Legal at the pages, whose heads may have 16 KiB. */
     private static final int PAGE_HEAD_BYTES = 12_000;
 
@@ -82,7 +87,7 @@
     private static final String OTHER_TEAM =
             "{\"Name\":\"u\",\"ApiKeys\":[\"" + OTHER_KEY + "\"],\"RatePerS\":1000,\"Burst\":1000}";
     private static final int TARGETS = 12;
-    private static final int CROWD_SECONDS = 20;
+    private static final int CROWD_SECONDS = 45;
     private static final long SEED = 1;
     private static final long FILL_MS = 1_000;
     private static final long SETTLE_MS = 6_000;
@@ -310,8 +315,8 @@
     }
 
     /**
-     * Guards against memory that is not returned when crowds leave. {@code -Dcrowd.seconds=3600} lets them come and go
-     * for longer.
+     * Guards against memory that is not returned when crowds leave, so that the largest body has no room.
+     * {@code -Dcrowd.seconds=3600} lets them come and go for longer.
      */
     @Test
     void aHostOfADeploymentStaysWithinItsMachineWhileCrowdsComeAndGo() throws IOException {
@@ -320,6 +325,18 @@
         new SoakCrowds(List.of(host), scheme, new SplittableRandom(SEED), () -> System.nanoTime() < end).run();
         assertServes(DEPLOYED_MB);
         assertEquals(200, lookUp());
+        Threads.sleep(SETTLE_MS);
+        long residentMb = host.residentMb();
+        assertTrue(residentMb + (DEPLOYED_BODY_BYTES >> 20) <= DEPLOYED_MB, residentMb + " MB once they have left");
+    }
+
+    /** Guards against bodies that wait in the system's buffers, which count as memory of the host. */
+    @Test
+    void aHostOfADeploymentStaysWithinItsMachineBesideBodiesThatItDoesNotRead() throws IOException {
+        startAsDeployed(DEPLOYED_DESCRIPTORS);
+        crowd.upload(WAITING_BODIES, WAITING_BODY_BYTES, 1, false);
+        crowd.settle(SETTLE_MS);
+        assertServes(DEPLOYED_MB);
     }
 
     /** Guards against descriptors that one listener takes from the others. */
@@ -407,7 +424,8 @@
         assertTrue(host.isAlive(), "the host ended");
         assertEquals(200, status);
         long residentMb = host.residentPeakMb();
-        assertTrue(residentMb <= maxMb, residentMb + " MB");
+        long unreadMb = host.unreadMb();
+        assertTrue(residentMb + unreadMb <= maxMb, residentMb + " MB, and " + unreadMb + " MB unread");
         long open = host.openDescriptors();
         assertTrue(open <= descriptors, open + " descriptors");
     }
--- a/daemon/src/test/java/org/knapweedhatch/soak/EntryHostCrowdTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/EntryHostCrowdTest.java
@@ -247,7 +247,9 @@
         assertEquals(200, status);
         assertTrue(host.isReady(), "the host is not ready");
         long residentMb = host.residentPeakMb();
-        assertTrue(residentMb <= 2 * HEAP_MB + MACHINE_MB, residentMb + " MB");
+        long unreadMb = host.unreadMb();
+        assertTrue(
+                residentMb + unreadMb <= 2 * HEAP_MB + MACHINE_MB, residentMb + " MB, and " + unreadMb + " MB unread");
     }
 
     private int call() {
--- a/daemon/src/test/java/org/knapweedhatch/soak/HostProcess.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/HostProcess.java
@@ -11,7 +11,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.knapweedhatch.daemon.Main;
 import org.knapweedhatch.platform.wire.DirectoryAnswer;
@@ -22,6 +24,9 @@
 
     private static final Duration START = Duration.ofSeconds(60);
 
+    /** State of an open connection in the system's table. */
+    private static final String ESTABLISHED = "01";
+
     /** Addresses and the path at which a host says whether it takes requests. */
     record Addresses(Address edge, Address peer, Address ready, String readyPath, Address directory, Address metrics) {}
 
@@ -147,7 +152,8 @@
         memoryFlags = Files.readAllLines(deploy.resolve("system.toml")).stream()
                 .filter(line -> line.startsWith("run = "))
                 .flatMap(line -> Stream.of(line.split("[ \"]+")))
-                .filter(word -> word.startsWith("-Xmx") || word.startsWith("-XX:MaxDirectMemorySize"))
+                .filter(word ->
+                        word.startsWith("-Xmx") || word.matches("-XX:.*(DirectMemory|NativeHeap|Unrecognized).*"))
                 .toList();
         for (String line : Files.readAllLines(deploy.resolve("front.ini"))) {
             if (line.startsWith("buffer-mb")) {
@@ -183,13 +189,45 @@
 
     /** Returns the most memory that the process has had so far, in megabytes. */
     long residentPeakMb() throws IOException {
+        return statusMb("VmHWM:");
+    }
+
+    /** Returns the memory that the process has, in megabytes. */
+    long residentMb() throws IOException {
+        return statusMb("VmRSS:");
+    }
+
+    private long statusMb(String field) throws IOException {
         return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
-                .filter(line -> line.startsWith("VmHWM:"))
+                .filter(line -> line.startsWith(field))
                 .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) / 1_024)
                 .findFirst()
                 .orElseThrow();
     }
 
+    /** Returns how many bytes the system has received for the process that it has not read, in megabytes. */
+    long unreadMb() throws IOException {
+        Set<Integer> ports = Stream.of(
+                        addresses.edge(),
+                        addresses.peer(),
+                        addresses.ready(),
+                        addresses.directory(),
+                        addresses.metrics())
+                .map(Address::port)
+                .collect(Collectors.toSet());
+        long bytes = 0;
+        for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
+            for (String line : Files.readAllLines(Path.of(table))) {
+                String[] fields = line.trim().split("[ :]+");
+                // Number, local address and port, remote address and port, state, bytes to send, bytes to read.
+                if (fields[0].matches("\\d+") && ports.contains(Integer.parseInt(fields[2], 16))) {
+                    bytes += fields[5].equals(ESTABLISHED) ? Long.parseLong(fields[7], 16) : 0;
+                }
+            }
+        }
+        return bytes >> 20;
+    }
+
     /** Returns the number of files and connections that the process has open. */
     long openDescriptors() throws IOException {
         try (Stream<Path> open = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
