Refuse requests a little before the middle of a planned stop

Requests sent that late must not be cut.

Cause: the host takes requests until 3 s by its own clock, which begins when it hears of the signal.

Change: requests are refused, as not run and for other hosts, 250 ms before the middle, or a 24th of a short grace period. Connections are accepted until the middle, as before.

The case of StopScheduleTest that wanted requests taken at 2,999 ms stated the fault. It is replaced by one that wants them taken at 2,749 ms and refused at 2,750 ms, which failed before, one for other grace periods, and the same check of connections as before.

--- a/daemon/src/main/java/org/knapweedhatch/front/StopSchedule.java
+++ b/daemon/src/main/java/org/knapweedhatch/front/StopSchedule.java
@@ -20,6 +20,15 @@
     /** The margin is at most this fraction of a short grace period. */
     private static final int END_FRACTION = 8;
 
+    /**
+     * Requests are refused so long before the middle, since the host hears of its stop a little later than it was told
+     * to: a request sent behind the middle must not run.
+     */
+    private static final Duration SIGNAL_DELAY = Duration.ofMillis(250);
+
+    /** The delay is at most this fraction of a short grace period. */
+    private static final int SIGNAL_FRACTION = 24;
+
     /** Connections are drained so long after the directory stopped naming the host. */
     private static final Duration DRAIN_DELAY = Duration.ofMillis(1_000);
 
@@ -53,7 +62,7 @@
      * other hosts serve.
      */
     public boolean takesRequests() {
-        return acceptsConnections();
+        return elapsed().plus(shorter(SIGNAL_DELAY, SIGNAL_FRACTION)).compareTo(grace.dividedBy(2)) < 0;
     }
 
     /** Returns whether connections are closed as soon as they are idle. */
@@ -63,8 +72,11 @@
 
     /** Returns the time until requests in progress are cut; negative once it has passed. */
     public Duration untilCut() {
-        Duration fraction = grace.dividedBy(END_FRACTION);
-        Duration margin = fraction.compareTo(END_MARGIN) < 0 ? fraction : END_MARGIN;
-        return grace.minus(margin).minus(elapsed());
+        return grace.minus(shorter(END_MARGIN, END_FRACTION)).minus(elapsed());
+    }
+
+    private Duration shorter(Duration time, int divisor) {
+        Duration fraction = grace.dividedBy(divisor);
+        return fraction.compareTo(time) < 0 ? fraction : time;
     }
 }
--- a/daemon/src/test/java/org/knapweedhatch/front/StopScheduleTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/StopScheduleTest.java
@@ -17,13 +17,31 @@
     private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
 
     @Test
-    void connectionsAndRequestsAreTakenInTheFirstHalf() {
+    void connectionsAreAcceptedInTheFirstHalf() {
         StopSchedule stop = StopSchedule.begin(Duration.ofSeconds(6), time);
         time.advance(Duration.ofMillis(2_999));
         assertTrue(stop.acceptsConnections());
-        assertTrue(stop.takesRequests());
         time.advance(Duration.ofMillis(1));
         assertFalse(stop.acceptsConnections());
+    }
+
+    /** Guards against a request that was sent behind the middle, by the clock of whoever sent the signal. */
+    @Test
+    void requestsAreTakenUntilALittleBeforeTheMiddle() {
+        StopSchedule stop = StopSchedule.begin(Duration.ofSeconds(6), time);
+        time.advance(Duration.ofMillis(2_749));
+        assertTrue(stop.takesRequests());
+        time.advance(Duration.ofMillis(1));
+        assertFalse(stop.takesRequests());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {100, 1_000, 3_000, 30_000})
+    void requestsAreTakenInMostOfTheFirstHalf(int graceMs) {
+        StopSchedule stop = StopSchedule.begin(Duration.ofMillis(graceMs), time);
+        time.advance(Duration.ofMillis(graceMs * 2 / 5));
+        assertTrue(stop.takesRequests());
+        time.advance(Duration.ofMillis(graceMs / 10));
         assertFalse(stop.takesRequests());
     }
 
