--- a/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -80,6 +81,12 @@
 
     private static final int WAITING_BODY_BYTES = 1 << 20;
 
+    /** The same where the machine has most descriptors. */
+    private static final int ARRIVING_BODIES = 2_000;
+
+    private static final int MAX_DEPLOYED_DESCRIPTORS = 4_096;
+    private static final long SAMPLE_MS = 100;
+
     /** Legal at the pages, whose heads may have 16 KiB. */
     private static final int PAGE_HEAD_BYTES = 12_000;
 
@@ -339,6 +346,21 @@
         assertServes(DEPLOYED_MB);
     }
 
+    /** Listed in KNOWN-RED.txt: nothing bounds what the system receives for all connections together. */
+    @EnabledIfSystemProperty(named = "known.red", matches = "true")
+    @Test
+    void aHostOfADeploymentStaysWithinItsMachineWhileManyBodiesArrive() throws IOException {
+        startAsDeployed(MAX_DEPLOYED_DESCRIPTORS);
+        crowd.upload(ARRIVING_BODIES, WAITING_BODY_BYTES, 1, false);
+        long mostMb = 0;
+        for (long waited = 0; waited < SETTLE_MS; waited += SAMPLE_MS) {
+            mostMb = Math.max(mostMb, host.residentMb() + host.unreadMb());
+            Threads.sleep(SAMPLE_MS);
+        }
+        assertServes(DEPLOYED_MB);
+        assertTrue(mostMb <= DEPLOYED_MB, mostMb + " MB with input that was not read");
+    }
+
     /** Guards against descriptors that one listener takes from the others. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
