Write the second team of a test in the platform module

The words of the users' configuration stand in the platform module only; WireNamesTest found them in CrowdInAProcessTest. ExampleEntries.withTeam writes them now. WireNamesTest and the case of another team's crowd pass.

--- a/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/CrowdInAProcessTest.java
@@ -91,8 +91,6 @@
     private static final int PAGE_HEAD_BYTES = 12_000;
 
     private static final String OTHER_KEY = "other-key";
-    private static final String OTHER_TEAM =
-            "{\"Name\":\"u\",\"ApiKeys\":[\"" + OTHER_KEY + "\"],\"RatePerS\":1000,\"Burst\":1000}";
     private static final int TARGETS = 12;
     private static final int CROWD_SECONDS = 45;
     private static final long SEED = 1;
@@ -138,10 +136,10 @@
         MemoryPlatform platform = MemoryPlatform.create();
         store = PlatformStandIn.start("127.0.0.1", 0, "", platform);
         target = new EndlessTarget(scheme);
-        StoredObject configuration = ExampleEntries.configuration(1, 1, GRACE, GRACE);
+        StoredObject configuration =
+                ExampleEntries.withTeam(ExampleEntries.configuration(1, 1, GRACE, GRACE), "u", OTHER_KEY);
         String text = new String(configuration.body(), StandardCharsets.UTF_8);
-        String limited = text.replace("\"MaxBodyBytes\":67108864", "\"MaxBodyBytes\":" + bodyBytes)
-                .replace("\"Tenants\":[", "\"Tenants\":[" + OTHER_TEAM + ",");
+        String limited = text.replace("\"MaxBodyBytes\":67108864", "\"MaxBodyBytes\":" + bodyBytes);
         platform.create(configuration.name(), limited.getBytes(StandardCharsets.UTF_8));
         for (int i = 0; i < TARGETS; i++) {
             StoredObject entry = ExampleEntries.target("i-" + i, 1, target.address(), "lima-a");
