Wait for the second half of a stop in ReceptionTest

The stop of the test lasts 1 ms and requests are taken for nearly half of it: a head that comes within 0.46 ms of its beginning is rightly taken, and its body waited for until its time is over. The test sends the head after 1 ms now, when every request is to be refused; what it checks is as before.

--- a/daemon/src/test/java/org/knapweedhatch/front/ReceptionTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/front/ReceptionTest.java
@@ -95,6 +95,7 @@
     @Test
     void hostThatLeavesRefusesRequestsBeforeTheirBodies() throws IOException {
         front.leave(Duration.ofMillis(1));
+        FrontFixture.sleep(1);
         try (FrontFixture.Caller caller = front.new Caller()) {
             caller.send(head(FrontFixture.KEY, "Content-Length: " + LARGE_BYTES + "\r\n"));
             FrontFixture.Response response = caller.read();
