Log and count what hosts fetch and send of the store's objects

The line "configuration in force" named neither its source nor its size nor the time to decode it, and a fetch that had begun had no line: a slow link, repeated fetches and a busy processor looked alike. The line now has `from`, `bytes` and `decodeMs`; a fetch that begins has a line with what is known and wanted; metrics show the bytes sent to other hosts by type of message, the fetches begun and failed, and the bytes that they brought. No decision changes.

--- a/daemon/src/main/java/org/knapweedhatch/admin/Metrics.java
+++ b/daemon/src/main/java/org/knapweedhatch/admin/Metrics.java
@@ -77,6 +77,14 @@
         Gauge.builder(PREFIX + name, value).description(description).register(registry);
     }
 
+    /** Shows a value that is read when the metrics are scraped, as one of a series told apart by a tag. */
+    public void gauge(String name, String description, String tag, String value, Supplier<Number> read) {
+        Gauge.builder(PREFIX + name, read)
+                .description(description)
+                .tag(tag, value)
+                .register(registry);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public String scrape() {
         return registry.scrape();
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontGauges.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontGauges.java
@@ -1,9 +1,11 @@
 package org.knapweedhatch.daemon;
 
 import org.knapweedhatch.admin.Metrics;
+import org.knapweedhatch.fleet.Peers;
 import org.knapweedhatch.front.FrontServer;
 import org.knapweedhatch.place.Placer;
 import org.knapweedhatch.platform.store.HttpPlatform;
+import org.knapweedhatch.store.PeerFetcher;
 
 /** Gauges of a host on the users' platform that only read one of its parts. */
 final class FrontGauges {
@@ -65,6 +67,29 @@
                 server::fullTargets);
     }
 
+    /** Registers the gauges of messages between hosts, and of what hosts fetch from each other. */
+    static void registerPeers(Metrics metrics, Peers peers, PeerFetcher fetcher) {
+        peers.counters()
+                .forEach((name, value) -> metrics.gauge(
+                        "peer_" + name.replace('.', '_'), "Count since the start: " + name, value::getAsLong));
+        peers.bytesSentByType()
+                .forEach((type, bytes) -> metrics.gauge(
+                        "peer_bytes_sent_by_type",
+                        "Bytes sent to other hosts since the start, by type of message",
+                        "type",
+                        type,
+                        bytes::getAsLong));
+        metrics.gauge("peer_fetches", "Fetches of stored objects from other hosts since the start", fetcher::begun);
+        metrics.gauge(
+                "peer_fetches_failed",
+                "Fetches of stored objects from other hosts that failed since the start",
+                fetcher::failed);
+        metrics.gauge(
+                "peer_fetched_bytes",
+                "Bytes of the answers to fetches of stored objects since the start",
+                fetcher::receivedBytes);
+    }
+
     /** Registers the gauges of calls to the store. */
     static void registerStore(Metrics metrics, HttpPlatform store) {
         metrics.gauge(
--- a/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
+++ b/daemon/src/main/java/org/knapweedhatch/daemon/FrontHost.java
@@ -240,6 +240,7 @@
                 "Latest era of the store that this host heard of; rises by one with each rollback, 0 if none is stated",
                 this::storeEra);
         FrontGauges.registerStore(metrics, store);
+        FrontGauges.registerPeers(metrics, peers, news);
     }
 
     private void viewed(MembershipView next) {
--- a/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
+++ b/daemon/src/main/java/org/knapweedhatch/fleet/Peers.java
@@ -3,7 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -137,6 +139,23 @@
         return membership.view();
     }
 
+    /** Returns the counts of the transport since the start, by name. */
+    public Map<String, LongSupplier> counters() {
+        Map<String, LongSupplier> counters = new TreeMap<>();
+        transport
+                .counters()
+                .read()
+                .keySet()
+                .forEach(name ->
+                        counters.put(name, () -> transport.counters().read().get(name)));
+        return counters;
+    }
+
+    /** Returns the bytes sent to other hosts since the start, by type of message. */
+    public Map<String, LongSupplier> bytesSentByType() {
+        return transport.bytesSentByType();
+    }
+
     /** Returns the incarnation of this process. */
     public long incarnation() {
         return membership.incarnation();
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerChannel.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerChannel.java
@@ -126,7 +126,7 @@
             usedNanos = System.nanoTime();
             transport.counters().messagesSent.increment();
         }
-        transport.counters().bytesSent.add(envelope.getSerializedSize() + Limits.LENGTH_BYTES);
+        transport.counters().frameSent(envelope.getKind(), envelope.getSerializedSize() + Limits.LENGTH_BYTES);
         context.write(envelope, context.voidPromise());
     }
 
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerCodecs.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerCodecs.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.knapweedhatch.fault.Result;
 import org.knapweedhatch.fault.Step;
 import org.knapweedhatch.helper.Validate;
@@ -55,6 +56,13 @@
         return Envelope.newBuilder().setKind(kind.number()).setBody(kind.encode(message));
     }
 
+    /** Returns the number of each type of message, by the simple name of the type. */
+    public Map<String, Integer> numbers() {
+        Map<String, Integer> numbers = new TreeMap<>();
+        byType.forEach((type, kind) -> numbers.put(type.getSimpleName(), kind.number()));
+        return numbers;
+    }
+
     /** Returns whether a number is known; a later version may send others. */
     public boolean knows(int number) {
         return byNumber.containsKey(number);
--- a/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
+++ b/daemon/src/main/java/org/knapweedhatch/peer/PeerTransport.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -256,6 +257,15 @@
         return counters;
     }
 
+    /** Returns the bytes sent since the start, by type of message; answers to fetches are {@code Fetched}. */
+    public Map<String, LongSupplier> bytesSentByType() {
+        Map<String, LongSupplier> bytes = new TreeMap<>();
+        codecs.numbers().forEach((type, number) -> bytes.put(type, () -> counters.bytesSent(number)));
+        bytes.put("Fetch", () -> counters.bytesSent(WireKind.FETCH));
+        bytes.put("Fetched", () -> counters.bytesSent(WireKind.FETCHED));
+        return bytes;
+    }
+
     /** Returns the address at which this transport listens. */
     public InetSocketAddress address() {
         return channels.stream()
--- a/daemon/src/main/java/org/knapweedhatch/store/PeerFetcher.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/PeerFetcher.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import org.knapweedhatch.clock.TimeSource;
@@ -47,6 +48,9 @@
     private final TimeSource time;
     private final EventLog log;
     private final Set<String> transfers = ConcurrentHashMap.newKeySet();
+    private final LongAdder begun = new LongAdder();
+    private final LongAdder failed = new LongAdder();
+    private final LongAdder receivedBytes = new LongAdder();
     private final Map<ObjectKind, Lag> lagByKind = new EnumMap<>(ObjectKind.class);
 
     /** The parts of a listing that have been received from a host. */
@@ -138,8 +142,17 @@
 
     /** Fetches all objects of a kind from a host that knows a version this one does not. */
     void fetch(ObjectKind kind, String host, StoreVersion version) {
+        begun.increment();
+        log.line(LineKind.HOST)
+                .put("peer", host)
+                .put("outcome", "asked for what it holds")
+                .put("feed", kind.name())
+                .put("known", cache.versions().get(kind.ordinal()).toString())
+                .put("wanted", version.toString())
+                .write();
         fetch.apply(host, ListingServer.nameOf(kind)).thenAccept(response -> {
             if (response.isOk()) {
+                receivedBytes.add(response.orThrow().length);
                 accept(kind, host, response.orThrow(), version);
             } else if (response.fault().message().equals(PeerTransport.NOT_HELD)) {
                 fetchParts(kind, host, version);
@@ -170,6 +183,7 @@
 
     private void acceptPart(Transfer transfer, byte[] response, int number) {
         try {
+            receivedBytes.add(response.length);
             ListingPartRecord part = ListingPartRecord.parseFrom(response);
             transfer.received.writeBytes(part.getBody().toByteArray());
             if (number + 1 < part.getParts()) {
@@ -194,7 +208,23 @@
         }
     }
 
+    /** Returns the fetches begun since the start. */
+    public long begun() {
+        return begun.sum();
+    }
+
+    /** Returns the fetches that failed since the start. */
+    public long failed() {
+        return failed.sum();
+    }
+
+    /** Returns the bytes of all answers since the start. */
+    public long receivedBytes() {
+        return receivedBytes.sum();
+    }
+
     private void logFailure(ObjectKind kind, String host, String why) {
+        failed.increment();
         log.line(LineKind.HOST)
                 .put("peer", host)
                 .put("outcome", "did not tell what it holds")
--- a/daemon/src/main/java/org/knapweedhatch/store/StoreCache.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreCache.java
@@ -36,6 +36,9 @@
  */
 public final class StoreCache {
 
+    /** Source of what is read from the store itself, in log lines. */
+    private static final String STORE = "store";
+
     private final Map<String, String> domains;
     private final TimeSource time;
     private final EventLog log;
@@ -181,9 +184,10 @@
      * Applies changes that another host received from the store; returns false and changes nothing if this cache lacks
      * changes before them. Changes of an earlier era, or of none if the store states one, are dropped.
      *
+     * @param from name of the other host
      * @param fromVersion version of the last change before these, in their era
      */
-    public synchronized boolean receiveChanges(ObjectKind kind, long fromVersion, Changes changes) {
+    public synchronized boolean receiveChanges(ObjectKind kind, String from, long fromVersion, Changes changes) {
         ObjectCache cached = held.get(kind);
         if (changes.era() < cached.asOf().era()) {
             return true;
@@ -197,7 +201,7 @@
             // As in receiveFromPeer: the store answers the other host.
             targets.storeReachable(true);
         }
-        applyChanges(kind, changes);
+        applyChanges(kind, changes, from);
         return true;
     }
 
@@ -211,14 +215,14 @@
         unavailable.replaceAll((kind, lost) -> false);
     }
 
-    private void applyChanges(ObjectKind kind, Changes changes) {
+    private void applyChanges(ObjectKind kind, Changes changes, String from) {
         Changes newer = held.get(kind).apply(changes);
         if (kind == ObjectKind.EVACUATIONS
                 && changes.era() == held.get(kind).asOf().era()) {
             changes.deleted().forEach(name -> evacuationsKept.remove(EvacuationEntry.domainOf(name)));
         }
         switch (kind) {
-            case CONFIGURATION -> newer.changed().forEach(this::applyConfiguration);
+            case CONFIGURATION -> newer.changed().forEach(object -> applyConfiguration(object, from));
             case TARGETS -> {
                 newer.changed().forEach(this::applyTarget);
                 newer.deleted().forEach(name -> targets.unregister(TargetEntry.nameOf(name)));
@@ -233,7 +237,7 @@
             rolledBack(kind, listing.era(), before.era(), from);
         }
         switch (kind) {
-            case CONFIGURATION -> listing.objects().forEach(this::applyConfiguration);
+            case CONFIGURATION -> listing.objects().forEach(object -> applyConfiguration(object, from));
             case TARGETS -> applyTargets(listing);
             default -> applyEvacuations(listing);
         }
@@ -295,10 +299,11 @@
         notifyListeners();
     }
 
-    private void applyConfiguration(StoredObject object) {
+    private void applyConfiguration(StoredObject object, String from) {
         if (!object.name().equals(OperatorConfiguration.NAME)) {
             return;
         }
+        long beganNanos = time.nanos();
         Result<Configuration> decoded = OperatorConfiguration.decode(object, domains);
         if (!decoded.isOk()) {
             log.line(LineKind.CONFIGURATION)
@@ -317,6 +322,9 @@
                 .put("number", next.number())
                 .put("before", configuration.number())
                 .put("revision", object.version())
+                .put("from", from)
+                .put("bytes", object.body().length)
+                .putNanos("decodeMs", time.since(beganNanos).toNanos())
                 .write();
         keys = keys.withConfiguration(next);
         configuration = next;
@@ -395,7 +403,7 @@
                 if (!held.get(kind).replace(listing)) {
                     return;
                 }
-                apply(kind, listing, before.upTo(), "store");
+                apply(kind, listing, before.upTo(), STORE);
                 if (before.upTo().equals(StoreVersion.NONE)) {
                     return;
                 }
@@ -415,7 +423,7 @@
                     return;
                 }
                 long fromVersion = held.get(kind).version().revision();
-                applyChanges(kind, changes);
+                applyChanges(kind, changes, STORE);
                 relay.changed(kind, fromVersion, changes);
             }
         }
--- a/daemon/src/main/java/org/knapweedhatch/store/StoreRelay.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/StoreRelay.java
@@ -82,7 +82,7 @@
         if (message instanceof StoreChanges news) {
             lostNanos.remove(from);
             role.statesEra(from, news.changes().era() > 0 || cache.era() == 0);
-            boolean applied = cache.receiveChanges(news.kind(), news.fromVersion(), news.changes());
+            boolean applied = cache.receiveChanges(news.kind(), from, news.fromVersion(), news.changes());
             if (!applied) {
                 fetcher.fetch(news.kind(), from, news.changes().upTo());
             }
--- a/daemon/src/test/java/org/knapweedhatch/store/StoreCacheTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/StoreCacheTest.java
@@ -160,10 +160,10 @@
     void changesOfAnEarlierEraFromAnotherHostAreDropped() {
         listInEra(ObjectKind.CONFIGURATION, 2, 5, configuration(4, 6));
         assertTrue(cache.receiveChanges(
-                ObjectKind.CONFIGURATION, 8, new Changes(List.of(configuration(9, 7)), List.of(), 1, 9)));
+                ObjectKind.CONFIGURATION, "h2", 8, new Changes(List.of(configuration(9, 7)), List.of(), 1, 9)));
         assertEquals(6, cache.configuration().number());
         assertFalse(cache.receiveChanges(
-                ObjectKind.CONFIGURATION, 3, new Changes(List.of(configuration(4, 7)), List.of(), 3, 4)));
+                ObjectKind.CONFIGURATION, "h2", 3, new Changes(List.of(configuration(4, 7)), List.of(), 3, 4)));
         assertEquals(6, cache.configuration().number());
     }
 
