Reproduce a large configuration that is in force too late

A domain of eleven hosts on simulated links of 8.4 Mbit/s, with the real caches, relays and fetches, and the real size of each message. The store has a configuration of 2,040 routes (0.46 MB).

--- /dev/null
+++ b/daemon/src/test/java/org/knapweedhatch/store/LargeConfigurationTest.java
@@ -0,0 +1,71 @@
+package org.knapweedhatch.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+import org.knapweedhatch.platform.StoredObject;
+
+/** A large configuration reaches all hosts of a failure domain in time, over the link of a small host. */
+class LargeConfigurationTest {
+
+    private static final int HOSTS = 11;
+    private static final double MEGABITS_PER_SECOND = 8.4;
+    private static final int ROUTES_BEFORE = 60;
+    private static final int ROUTES = 2_040;
+
+    /** Time after its acknowledgement in which a configuration has to be in force. */
+    private static final Duration LIMIT = Duration.ofSeconds(4);
+
+    private final DomainSimulation domain = new DomainSimulation(
+            HOSTS, MEGABITS_PER_SECOND, DomainSimulation.configuration(1, 1, ROUTES_BEFORE, 3_000));
+
+    @AfterEach
+    void close() {
+        domain.close();
+    }
+
+    private void assertInForceInTime() {
+        Map<String, Duration> times = domain.timesInForce();
+        assertEquals(HOSTS, times.size(), "hosts with the configuration in force: " + times);
+        times.forEach((host, took) -> assertTrue(took.compareTo(LIMIT) <= 0, host + " after " + took + ": " + times));
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = "known.red", matches = "true")
+    void manyRoutesMoreAreInForceOnAllHostsInTime() {
+        domain.write(5, DomainSimulation.configuration(5, 50, ROUTES, 3_000), Duration.ofSeconds(20));
+        assertInForceInTime();
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = "known.red", matches = "true")
+    void oneFieldOfALargeConfigurationChangesInTimeAndCostsWhatItChanges() {
+        domain.write(5, DomainSimulation.configuration(5, 50, ROUTES, 3_000), Duration.ofSeconds(20));
+        StoredObject changed = DomainSimulation.configuration(9, 90, ROUTES, 2_000);
+        long beforeChange = domain.sentBytes();
+        domain.write(9, changed, Duration.ofSeconds(20));
+        assertInForceInTime();
+        long forChange = domain.sentBytes() - beforeChange;
+        long beforeNothing = domain.sentBytes();
+        domain.idle(Duration.ofSeconds(20));
+        long forNothing = domain.sentBytes() - beforeNothing;
+        assertTrue(
+                forChange - forNothing < changed.body().length,
+                "bytes for one field, to all hosts: " + (forChange - forNothing));
+    }
+
+    /** A host whose heartbeats wait behind a configuration is taken for dead. */
+    @Test
+    @EnabledIfSystemProperty(named = "known.red", matches = "true")
+    void heartbeatsDoNotWaitBehindALargeConfiguration() {
+        domain.write(5, DomainSimulation.configuration(5, 50, ROUTES, 3_000), Duration.ofSeconds(20));
+        assertTrue(
+                domain.longestHeartbeat().compareTo(Duration.ofSeconds(1)) < 0,
+                "longest heartbeat: " + domain.longestHeartbeat());
+    }
+}
