Serve all parts of a listing under one name, however it was asked for

A listing that answered a question for updates was kept, and compressed, once for each version that hosts asked from. Its later parts are now fetched under the name of the listing, so that all hosts share one payload; the payloads in use are kept longest. A listing that is older than the version for which it was fetched does not count as that version.

--- a/daemon/src/main/java/org/knapweedhatch/store/ListingServer.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/ListingServer.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.zip.GZIPInputStream;
 import java.util.zip.GZIPOutputStream;
 import org.knapweedhatch.peer.proto.ListingPartRecord;
@@ -30,7 +32,7 @@
     private static final int PART_BYTES = 32_000;
 
     /** Payloads that are kept so that hosts can fetch all parts of one, although the objects change meanwhile. */
-    private static final int MAX_PAYLOADS = 4;
+    private static final int MAX_PAYLOADS = 6;
 
     /** Largest listing that is decompressed, in bytes; the store's responses have the same limit. */
     private static final int MAX_LISTING_BYTES = 64_000_000;
@@ -41,19 +43,26 @@
     private static final String SINCE = "/since/";
     private static final String FIRST = "/0";
 
+    /** Name of a part behind the first one: of its payload, the number, and the version. */
+    private static final Pattern LATER_PART = Pattern.compile("(.+)/(\\d{1,9})/(\\d+/\\d+)");
+
     private final StoreCache cache;
-    private final Map<String, Payload> payloads = new LinkedHashMap<>() {
+    private final Map<String, Payload> payloads = new LinkedHashMap<>(MAX_PAYLOADS, 1, true) {
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Payload> eldest) {
             return size() > MAX_PAYLOADS;
         }
     };
 
-    /** What is served in parts: updates, or a compressed listing, as of a version. */
-    private record Payload(boolean updates, StoreVersion upTo, byte[] bytes) {
+    /** What is served in parts under a name: updates, or a compressed listing, as of a version. */
+    private record Payload(String name, boolean updates, StoreVersion upTo, byte[] bytes) {
         int parts() {
             return Math.max(1, (bytes.length + PART_BYTES - 1) / PART_BYTES);
         }
+
+        String key() {
+            return keyOf(name, upTo.toString());
+        }
     }
 
     private ListingServer(StoreCache cache) {
@@ -80,7 +89,7 @@
         return nameOf(kind) + SINCE + since + FIRST;
     }
 
-    /** Returns the name of a part behind the first one, whose payload is as of a version. */
+    /** Returns the name of a part behind the first one, which came under a name. */
     static String nameOfPart(String first, int number, StoreVersion upTo) {
         return baseOf(first) + "/" + number + "/" + upTo;
     }
@@ -89,6 +98,10 @@
         return first.substring(0, first.length() - FIRST.length());
     }
 
+    private static String keyOf(String name, String upTo) {
+        return name + " " + upTo;
+    }
+
     /** Returns what another host fetches by a name; empty for an unknown name, and for what exceeds a message. */
     public Optional<byte[]> serve(String name) {
         for (ObjectKind kind : ObjectKind.values()) {
@@ -97,52 +110,48 @@
                         .filter(json -> json.length <= MAX_RESPONSE_BYTES);
             }
             if (name.equals(nameOfFirstPart(kind))) {
-                return Optional.of(firstPart(name, listing(kind)));
+                return Optional.of(firstPart(listing(kind)));
             }
             if (name.startsWith(nameOf(kind) + SINCE) && name.endsWith(FIRST)) {
-                Optional<Payload> updates = updates(kind, name);
-                return Optional.of(firstPart(name, updates.orElseGet(() -> listing(kind))));
+                return Optional.of(firstPart(updates(kind, baseOf(name)).orElseGet(() -> listing(kind))));
             }
         }
         return laterPart(name);
     }
 
-    private Optional<Payload> updates(ObjectKind kind, String first) {
-        String since = baseOf(first).substring((nameOf(kind) + SINCE).length());
-        return StoreVersion.parse(since)
-                .map(version -> cache.updatesSince(kind, version))
+    private Optional<Payload> updates(ObjectKind kind, String name) {
+        return StoreVersion.parse(name.substring((nameOf(kind) + SINCE).length()))
+                .map(since -> cache.updatesSince(kind, since))
                 .filter(updates -> !updates.isEmpty())
-                .map(updates ->
-                        new Payload(true, updates.get(updates.size() - 1).upTo(), StoreUpdates.encode(updates)));
+                .map(updates -> {
+                    StoreVersion upTo = updates.get(updates.size() - 1).upTo();
+                    return new Payload(name, true, upTo, StoreUpdates.encode(updates));
+                });
     }
 
     private synchronized Payload listing(ObjectKind kind) {
         Listing listing = cache.held(kind);
-        Payload known = payloads.get(keyOf(nameOfFirstPart(kind), listing.upTo()));
-        return known != null ? known : new Payload(false, listing.upTo(), compress(Wire.writeListing(listing)));
-    }
-
-    private static String keyOf(String first, StoreVersion upTo) {
-        return baseOf(first) + " " + upTo;
+        Payload known = payloads.get(keyOf(nameOf(kind), listing.upTo().toString()));
+        return known != null
+                ? known
+                : new Payload(nameOf(kind), false, listing.upTo(), compress(Wire.writeListing(listing)));
     }
 
-    private synchronized byte[] firstPart(String name, Payload payload) {
-        payloads.put(keyOf(name, payload.upTo()), payload);
+    private synchronized byte[] firstPart(Payload payload) {
+        payloads.put(payload.key(), payload);
         return encode(payload, 0);
     }
 
     /** Returns a part of a payload whose first part was fetched; empty if it is no longer kept. */
     private synchronized Optional<byte[]> laterPart(String name) {
-        for (Map.Entry<String, Payload> entry : payloads.entrySet()) {
-            Payload payload = entry.getValue();
-            String first = entry.getKey().substring(0, entry.getKey().indexOf(' ')) + FIRST;
-            for (int number = 1; number < payload.parts(); number++) {
-                if (name.equals(nameOfPart(first, number, payload.upTo()))) {
-                    return Optional.of(encode(payload, number));
-                }
-            }
+        Matcher part = LATER_PART.matcher(name);
+        if (!part.matches()) {
+            return Optional.empty();
         }
-        return Optional.empty();
+        int number = Integer.parseInt(part.group(2));
+        return Optional.ofNullable(payloads.get(keyOf(part.group(1), part.group(3))))
+                .filter(payload -> number < payload.parts())
+                .map(payload -> encode(payload, number));
     }
 
     private static byte[] encode(Payload payload, int number) {
--- a/daemon/src/main/java/org/knapweedhatch/store/PeerFetcher.java
+++ b/daemon/src/main/java/org/knapweedhatch/store/PeerFetcher.java
@@ -230,12 +230,14 @@
     private void receivePart(Transfer transfer, ListingPartRecord part, int number) throws IOException {
         transfer.received.writeBytes(part.getBody().toByteArray());
         if (number + 1 < part.getParts()) {
+            String first = part.getUpdates() ? transfer.first : ListingServer.nameOfFirstPart(transfer.kind);
             StoreVersion upTo = new StoreVersion(part.getEra(), part.getUpTo());
-            fetchPart(transfer, ListingServer.nameOfPart(transfer.first, number + 1, upTo), number + 1);
+            fetchPart(transfer, ListingServer.nameOfPart(first, number + 1, upTo), number + 1);
         } else if (!part.getUpdates()) {
             byte[] json = ListingServer.decompress(transfer.received.toByteArray());
             Listing listing = Wire.readListing(Wire.kind(transfer.kind.prefix()), json);
-            cache.receiveFromPeer(transfer.kind, transfer.host, listing, transfer.version);
+            StoreVersion version = listing.upTo().isBefore(transfer.version) ? StoreVersion.NONE : transfer.version;
+            cache.receiveFromPeer(transfer.kind, transfer.host, listing, version);
             finish(transfer);
         } else if (applyUpdates(transfer)) {
             finish(transfer);
--- a/daemon/src/test/java/org/knapweedhatch/store/PeerFetcherTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/PeerFetcherTest.java
@@ -183,6 +183,22 @@
         assertEquals(9, own.configuration().number());
     }
 
+    /** Guards against a host that begins anew with each change of the objects and never gets all parts. */
+    @Test
+    void changesDuringAFetchDoNotBreakIt() {
+        peer.listener(ObjectKind.CONFIGURATION)
+                .listed(new Listing(List.of(DomainSimulation.configuration(9, 9, 2_000, 3_000)), 9));
+        CompletableFuture<Result<byte[]>> first = new CompletableFuture<>();
+        held = first;
+        fetcher.fetch(ObjectKind.CONFIGURATION, "h2", new StoreVersion(0, 9));
+        held = null;
+        Result<byte[]> part = serve(ListingServer.nameOfFirstPart(ObjectKind.CONFIGURATION));
+        list(peer, ObjectKind.CONFIGURATION, 11, 11);
+        first.complete(part);
+        assertEquals(9, own.configuration().number());
+        assertTrue(fetched.size() > 1, "a listing of several parts: " + fetched);
+    }
+
     /** Guards against copies that are asked for again while earlier ones are on their way. */
     @Test
     void oneFetchOfAKindIsInProgressAtATime() {
