Test large configurations in quick succession while messages are lost

Eleven hosts on links of 8.4 Mbit/s, 28 configurations within 21 s, most of 2,040 routes, one message in five lost: no host goes back, and all hold the last configuration 15 s after the losses end.

--- a/daemon/src/test/java/org/knapweedhatch/store/DomainLinks.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/DomainLinks.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.SplittableRandom;
 import org.knapweedhatch.clock.ManualTime;
 
 /** Links of hosts on a clock of its own: what a host sends and receives takes turns on its link, in order. */
@@ -19,15 +20,23 @@
     private final Map<String, Long> outFree = new HashMap<>();
     private final Map<String, Long> inFree = new HashMap<>();
     private final Map<String, Long> sentBytes = new HashMap<>();
+    private final SplittableRandom random;
+    private double loss;
     private long sequence;
 
     private record Event(long atNanos, long sequence, Runnable action) {}
 
-    DomainLinks(ManualTime time, double megabitsPerSecond) {
+    DomainLinks(ManualTime time, double megabitsPerSecond, long seed) {
         this.time = time;
+        random = new SplittableRandom(seed);
         bytesPerSecond = megabitsPerSecond * 1e6 / 8;
     }
 
+    /** Sets the share of messages that never arrive. */
+    void loss(double share) {
+        loss = share;
+    }
+
     /** Runs an action after a delay. */
     void after(Duration delay, Runnable action) {
         at(time.nanos() + delay.toNanos(), action);
@@ -43,6 +52,9 @@
         long onLink = (long) (bytes / bytesPerSecond * 1e9);
         long sent = Math.max(time.nanos(), outFree.getOrDefault(from, 0L)) + onLink;
         outFree.put(from, sent);
+        if (random.nextDouble() < loss) {
+            return;
+        }
         at(sent + DELAY.toNanos(), () -> {
             long read = Math.max(time.nanos(), inFree.getOrDefault(to, 0L) + onLink);
             inFree.put(to, read);
--- a/daemon/src/test/java/org/knapweedhatch/store/DomainSimulation.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/DomainSimulation.java
@@ -1,5 +1,7 @@
 package org.knapweedhatch.store;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -69,6 +71,8 @@
         final StoreRelay relay = new StoreRelay(cache, role, fetcher, this::send, time);
         final ListingServer server = ListingServer.of(cache);
         long reported;
+        long readFreeNanos;
+        long number;
 
         Node(String name) {
             this.name = name;
@@ -76,7 +80,20 @@
             cache.onChange(this::changed);
         }
 
+        /** Reads a change from the store, behind those that it is reading. */
+        private void read(StoredObject configuration) {
+            Changes changes = new Changes(List.of(configuration), List.of(), configuration.version());
+            long onLink = (long) (configuration.body().length / (megabitsPerSecond * 1e6 / 8) * 1e9);
+            readFreeNanos = Math.max(time.nanos(), readFreeNanos) + onLink;
+            links.after(
+                    Duration.ofNanos(readFreeNanos - time.nanos()),
+                    () -> cache.listener(ObjectKind.CONFIGURATION).changed(changes));
+        }
+
         private void changed() {
+            long next = cache.configuration().number();
+            assertTrue(next >= number, name + " went back from " + number + " to " + next);
+            number = next;
             if (awaited > 0 && cache.configuration().number() >= awaited) {
                 inForce.putIfAbsent(name, Duration.ofNanos(time.nanos() - acknowledgedNanos));
             }
@@ -137,10 +154,14 @@
     }
 
     DomainSimulation(int hosts, double megabitsPerSecond, StoredObject configuration) {
+        this(hosts, megabitsPerSecond, configuration, 1);
+    }
+
+    DomainSimulation(int hosts, double megabitsPerSecond, StoredObject configuration, long seed) {
         this.megabitsPerSecond = megabitsPerSecond;
-        links = new DomainLinks(time, megabitsPerSecond);
+        links = new DomainLinks(time, megabitsPerSecond, seed);
         IntStream.range(0, hosts).forEach(i -> nodes.put("h" + i, new Node("h" + i)));
-        SplittableRandom random = new SplittableRandom(hosts);
+        SplittableRandom random = new SplittableRandom(seed);
         nodes.values().forEach(node -> {
             node.role.update(view(node.name));
             node.cache.listener(ObjectKind.CONFIGURATION).listed(new Listing(List.of(configuration), 1));
@@ -171,16 +192,24 @@
         inForce.clear();
         longestHeartbeat = Duration.ZERO;
         acknowledgedNanos = time.nanos();
-        Duration read = Duration.ofNanos((long) (configuration.body().length / (megabitsPerSecond * 1e6 / 8) * 1e9));
-        Changes changes = new Changes(List.of(configuration), List.of(), configuration.version());
-        nodes.values().stream()
-                .filter(node -> node.role.watches())
-                .forEach(node -> links.after(
-                        read,
-                        () -> node.cache.listener(ObjectKind.CONFIGURATION).changed(changes)));
+        nodes.values().stream().filter(node -> node.role.watches()).forEach(node -> node.read(configuration));
         links.run(span);
     }
 
+    /** Sets the share of messages between hosts that never arrive. */
+    void loss(double share) {
+        links.loss(share);
+    }
+
+    /** Returns the hosts that hold something else than one configuration. */
+    List<String> hostsWithout(StoredObject configuration) {
+        return nodes.values().stream()
+                .filter(node ->
+                        !node.cache.held(ObjectKind.CONFIGURATION).objects().equals(List.of(configuration)))
+                .map(node -> node.name)
+                .toList();
+    }
+
     /** Lets time pass without a change. */
     void idle(Duration span) {
         links.run(span);
--- a/daemon/src/test/java/org/knapweedhatch/store/LargeConfigurationTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/LargeConfigurationTest.java
@@ -4,9 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.knapweedhatch.platform.StoredObject;
 
 /** A large configuration reaches all hosts of a failure domain in time, over the link of a small host. */
@@ -56,6 +60,25 @@
                 "bytes for one field, to all hosts: " + (forChange - forNothing));
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void changesInQuickSuccessionReachAllHostsWhateverIsLost(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        DomainSimulation lossy = new DomainSimulation(
+                HOSTS, MEGABITS_PER_SECOND, DomainSimulation.configuration(1, 1, ROUTES_BEFORE, 3_000), seed);
+        lossy.loss(0.2);
+        StoredObject last = null;
+        for (int number = 2; number < 30; number++) {
+            int routes = random.nextInt(3) == 0 ? ROUTES_BEFORE + random.nextInt(ROUTES) : ROUTES;
+            last = DomainSimulation.configuration(number, number * 10, routes, 1_000 + random.nextInt(2_000));
+            lossy.write(number, last, Duration.ofMillis(random.nextInt(1_500)));
+        }
+        lossy.loss(0);
+        lossy.idle(Duration.ofSeconds(15));
+        assertEquals(List.of(), lossy.hostsWithout(last), "seed " + seed);
+        lossy.close();
+    }
+
     /** A host whose heartbeats wait behind a configuration is taken for dead. */
     @Test
     void heartbeatsDoNotWaitBehindALargeConfiguration() {
