--- a/daemon/src/test/java/org/knapweedhatch/store/DomainSimulation.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/DomainSimulation.java
@@ -253,10 +253,12 @@
     }
 
     private static String route(SplittableRandom random, int index, int timeoutMillis) {
-        return """
+        String form = """
                 {"Name":"r-%s%d","Host":"%s.example","PathPrefix":"/%s/","Type":"safe","Timeout":"%dms",\
                 "TargetLatency":"1274ms","Priority":2,"Service":"orders","MaxAttempts":2,"NoAuth":false,\
-                "Sticky":true,"AllowedRegions":[]}""".formatted(word(random), index, word(random), word(random), index == 0 ? timeoutMillis : 3_000);
+                "Sticky":true,"AllowedRegions":[]}""";
+        int timeout = index == 0 ? timeoutMillis : 3_000;
+        return form.formatted(word(random), index, word(random), word(random), timeout);
     }
 
     private static String word(SplittableRandom random) {
