Play the soak with large configurations, and check that the last one is in force

-Dsoak.routes=2000 gives every second configuration so many routes more; without it the soak plays as before. At its end every host must have the last stored configuration in force within 4 s. A host that ended by itself is reported with its exit value.

--- a/daemon/src/test/java/org/knapweedhatch/soak/HostProcess.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/HostProcess.java
@@ -1,11 +1,13 @@
 package org.knapweedhatch.soak;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -235,6 +237,29 @@
         }
     }
 
+    /** Returns a gauge of the process; -1 if it does not show its metrics. */
+    double gauge(String gauge) {
+        String prefix = "knapweedhatch_" + gauge + " ";
+        try (Stream<String> lines = metrics()) {
+            return lines.filter(line -> line.startsWith(prefix))
+                    .mapToDouble(line -> Double.parseDouble(line.substring(prefix.length())))
+                    .findFirst()
+                    .orElse(-1);
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    private Stream<String> metrics() throws IOException {
+        URI uri = URI.create("http://" + addresses.metrics() + "/-/metrics");
+        HttpURLConnection connection = (HttpURLConnection) uri.toURL().openConnection();
+        connection.setConnectTimeout(1_000);
+        connection.setReadTimeout(1_000);
+        try (InputStream body = connection.getInputStream()) {
+            return new String(body.readAllBytes(), StandardCharsets.UTF_8).lines();
+        }
+    }
+
     String name() {
         return name;
     }
--- a/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
+++ b/daemon/src/test/java/org/knapweedhatch/soak/PlannedStopSoakTest.java
@@ -34,7 +34,8 @@
  * Hosts as real processes that are stopped, told to reload, killed and started again, also several at once, while
  * callers keep their connections, crowds of other clients come and go, the store fails and the configuration changes.
  *
- * <p>{@code -Dsoak.seeds=1-50} plays other seeds, {@code -Dsoak.hosts=40} more hosts, {@code -Dsoak.seconds=60} longer.
+ * <p>{@code -Dsoak.seeds=1-50} plays other seeds, {@code -Dsoak.hosts=40} more hosts, {@code -Dsoak.seconds=60} longer,
+ * {@code -Dsoak.routes=2000} gives every second configuration so many routes more.
  */
 class PlannedStopSoakTest {
 
@@ -54,6 +55,9 @@
             8L, "hosts outlasted their grace period: the goodbye and the exit of the JVM took more than the margin",
             15L, "hosts outlasted their grace period: the stop waited for clients without a request");
 
+    /** Time in which a configuration has to be in force on all hosts, once the store answers. */
+    private static final Duration CONFIGURATION_LIMIT = Duration.ofSeconds(4);
+
     private static final int SLOTS = 5;
     private static final int HOSTS_PER_CROWD_SERIES = 4;
 
@@ -74,8 +78,10 @@
     private final HeaderScheme scheme = PlatformHeaders.scheme();
     private final int hostCount = Integer.getInteger("soak.hosts", 4);
     private final Duration length = Duration.ofSeconds(Integer.getInteger("soak.seconds", 25));
+    private final int routes = Integer.getInteger("soak.routes", 0);
     private final List<HostProcess> hosts = new ArrayList<>();
     private long configurations;
+    private long stored;
 
     /** Returns the seeds of {@code -Dsoak.seeds}, such as {@code 1-50}; without it those of {@link #REGRESSIONS}. */
     static LongStream seeds() {
@@ -125,6 +131,7 @@
             }
             checkRuns();
             checkHosts();
+            awaitConfiguration();
             assertEquals(List.of(), broken, describe(seed));
             assertTrue(
                     attempts.values().stream().anyMatch(request -> request.status() == 200), "no request was answered");
@@ -142,14 +149,20 @@
     }
 
     private void configure(MemoryPlatform platform) {
-        StoredObject next = ExampleEntries.configuration(++configurations, 1, LONG_TIMEOUT, ONCE_TIMEOUT);
+        configurations++;
+        StoredObject next = ExampleEntries.withRoutes(
+                ExampleEntries.configuration(configurations, 1, LONG_TIMEOUT, ONCE_TIMEOUT),
+                configurations % 2 == 0 ? routes : 0);
         if (configurations == 1) {
             platform.create(next.name(), next.body());
+            stored = configurations;
         } else {
-            Result<StoredObject> stored = platform.read(next.name());
+            Result<StoredObject> last = platform.read(next.name());
             // The operator cannot write either while the store is down.
-            if (stored.isOk()) {
-                platform.update(next.name(), next.body(), stored.orThrow().version());
+            if (last.isOk()
+                    && platform.update(next.name(), next.body(), last.orThrow().version())
+                            .isOk()) {
+                stored = configurations;
             }
         }
     }
@@ -215,7 +228,7 @@
     private void checkHosts() throws IOException {
         for (HostProcess host : hosts) {
             if (!host.isAlive()) {
-                broken.add(host.name() + " ended by itself");
+                broken.add(host.name() + " ended by itself with " + host.exitValue());
             } else if (host.residentPeakMb() > MAX_RESIDENT_MB || host.openDescriptors() > MAX_DESCRIPTORS) {
                 broken.add(host.name() + " has had " + host.residentPeakMb() + " MB and has " + host.openDescriptors()
                         + " descriptors");
@@ -223,6 +236,20 @@
         }
     }
 
+    /** Checks that every host has the last configuration in force in time. */
+    private void awaitConfiguration() {
+        long end = System.nanoTime() + CONFIGURATION_LIMIT.toNanos();
+        List<String> behind = List.of();
+        do {
+            Threads.sleep(100);
+            behind = hosts.stream()
+                    .filter(host -> host.isAlive() && host.gauge("configuration") < stored)
+                    .map(HostProcess::name)
+                    .toList();
+        } while (!behind.isEmpty() && System.nanoTime() < end);
+        behind.forEach(host -> broken.add(host + " does not have configuration " + stored + " in force"));
+    }
+
     private HostProcess anyHost(SplittableRandom random) {
         return hosts.get(random.nextInt(hosts.size()));
     }
