--- a/daemon/src/test/java/org/knapweedhatch/store/DomainSimulation.java
+++ b/daemon/src/test/java/org/knapweedhatch/store/DomainSimulation.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
@@ -12,7 +11,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.knapweedhatch.clock.ManualTime;
 import org.knapweedhatch.fault.Result;
@@ -28,7 +26,7 @@
 import org.knapweedhatch.platform.Changes;
 import org.knapweedhatch.platform.Listing;
 import org.knapweedhatch.platform.StoredObject;
-import org.knapweedhatch.platform.wire.OperatorConfiguration;
+import org.knapweedhatch.platform.wire.ExampleEntries;
 import org.knapweedhatch.report.HostReport;
 import org.knapweedhatch.report.HostReports;
 import org.knapweedhatch.steer.NearestHosts;
@@ -239,29 +237,10 @@
         log.close();
     }
 
-    /** Returns a configuration of some routes, each of which has the time-out given in milliseconds. */
+    /** Returns a configuration of some routes and two more, of which one has the time-out given in milliseconds. */
     static StoredObject configuration(long number, long version, int routes, int timeoutMillis) {
-        SplittableRandom random = new SplittableRandom(routes);
-        String listed = IntStream.range(0, routes)
-                .mapToObj(i -> route(random, i, timeoutMillis))
-                .collect(Collectors.joining(","));
-        String text = """
-                {"Version":"r%d","Routes":[%s],"Services":[{"Name":"orders","HealthPath":"/health","MaxConns":330}],\
-                "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3s","IdleTimeout":"15s"},\
-                "Tenants":[{"Name":"t","ApiKeys":["k"],"RatePerS":1000,"Burst":1000}]}""".formatted(number, listed);
-        return new StoredObject(OperatorConfiguration.NAME, version, text.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private static String route(SplittableRandom random, int index, int timeoutMillis) {
-        String form = """
-                {"Name":"r-%s%d","Host":"%s.example","PathPrefix":"/%s/","Type":"safe","Timeout":"%dms",\
-                "TargetLatency":"1274ms","Priority":2,"Service":"orders","MaxAttempts":2,"NoAuth":false,\
-                "Sticky":true,"AllowedRegions":[]}""";
-        int timeout = index == 0 ? timeoutMillis : 3_000;
-        return form.formatted(word(random), index, word(random), word(random), timeout);
-    }
-
-    private static String word(SplittableRandom random) {
-        return Long.toString(Math.abs(random.nextLong()) % 2_000_000_000L, 36);
+        Duration timeout = Duration.ofMillis(timeoutMillis);
+        return ExampleEntries.withRoutes(
+                ExampleEntries.configuration(number, version, timeout, Duration.ofSeconds(1)), routes);
     }
 }
